--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -7,11 +7,17 @@
 #include <variant>
 
 #include "libs/base/overloaded.h"
+#include "libs/settings/key_table.h"
 #include "libs/settings/load.h"
 #include "libs/settings/settings_error.h"
 #include "libs/telemetry/log.h"
+#include "platform/configuration_codec.h"
+#include "platform/control_api.h"
+#include "platform/wire_names.h"
 #include "plugins/agent/agent_process.h"
+#include "plugins/control_node/control_node_process.h"
 #include "plugins/entry/entry_process.h"
+#include "plugins/gateway/gateway_process.h"
 #include "plugins/query/query_command.h"
 
 DEFINE_string(settings, "", "settings file (TOML); see docs/SETTINGS.md");
@@ -26,6 +32,10 @@
     "                          with a data folder also a control replica\n"
     "  agent --settings=FILE   serve one engine or plain service on a target "
     "VM\n"
+    "  gateway --settings=FILE serve callers on a VM without a disk, calling "
+    "the\n"
+    "                          targets directly\n"
+    "  control --settings=FILE a control replica that serves no callers\n"
     "  query --address=IP:PORT[,IP:PORT...] --credential_file=FILE "
     "[STATEMENT]\n"
     "                          ask or order as an operator; without a "
@@ -53,10 +63,22 @@
   return telemetry::LogLevel::kInfo;
 }
 
+std::string RoleOf(const settings::Settings& settings) {
+  return std::visit(
+      Overloaded{
+          [](const settings::EntrySettings&) { return settings::kEntryRole; },
+          [](const settings::AgentSettings&) { return settings::kAgentRole; },
+          [](const settings::GatewaySettings&) {
+            return settings::kGatewayRole;
+          },
+          [](const settings::ControlSettings&) {
+            return settings::kControlRole;
+          }},
+      settings.role).data();
+}
+
 int RunRole(const settings::Settings& settings, const std::string& command) {
-  const bool is_entry =
-      std::holds_alternative<settings::EntrySettings>(settings.role);
-  const std::string role = is_entry ? "entry" : "agent";
+  const std::string role = RoleOf(settings);
   if (role != command) {
     std::cerr << command << ": " << FLAGS_settings << " is for the role \""
               << role << "\"\n";
@@ -74,6 +96,17 @@
                  },
                  [&](const settings::AgentSettings& agent_settings) {
                    return agent::RunAgent(settings.common, agent_settings);
+                 },
+                 [&](const settings::GatewaySettings& gateway_settings) {
+                   return gateway::RunGateway(
+                       settings.common, gateway_settings, FLAGS_settings,
+                       {platform::Dialect(), platform::ReadConfiguration});
+                 },
+                 [&](const settings::ControlSettings& control_settings) {
+                   return control_node::RunControlNode(
+                       settings.common, control_settings,
+                       {platform::ReadConfiguration,
+                        platform::MakeControlHandler});
                  }},
       settings.role);
 }
@@ -110,7 +143,12 @@
     std::cout << "bilberryspool " << BILBERRYSPOOL_VERSION << "\n";
     return 0;
   }
-  if (command == "entry" || command == "agent" || command == "check") {
+  const bool takes_settings = command == settings::kEntryRole ||
+                              command == settings::kAgentRole ||
+                              command == settings::kGatewayRole ||
+                              command == settings::kControlRole ||
+                              command == "check";
+  if (takes_settings) {
     return RunWithSettings(command);
   }
   if (command == "query") {
--- /dev/null
+++ b/src/libs/consensus/member_keeper.h
@@ -0,0 +1,57 @@
+// Keeps the voters of the replicated log whole without an operator.
+//
+// Where VMs come and go by themselves, nobody types a replacement: a VM whose
+// disk was lost comes back with a new folder, and one that is gone for good is
+// followed by another at a new address. Until the new folder has the vote, the
+// log has one copy less than it should, and the next lost disk could take
+// accepted configuration with it. Noticed by a member that asks for admission
+// without getting it. So the leader gives each such member the vote of the
+// folder that it stands for, by a joint change, which never needs more live
+// folders than before.
+//
+// Pure: a picture of the log in, one change out.
+
+#ifndef LIBS_CONSENSUS_MEMBER_KEEPER_H_
+#define LIBS_CONSENSUS_MEMBER_KEEPER_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+#include "libs/base/time.h"
+#include "libs/consensus/membership.h"
+
+namespace bilberryspool::consensus {
+
+class Replica;
+
+struct MemberKeeperOptions {
+  // Voters wanted; with 2 f + 1 of them f folders may be lost.
+  std::size_t voters = 3;
+  // A voter that has not answered for this long may be replaced by another
+  // node that asks for admission.
+  Duration silence = Seconds(2);
+  // A learner that has not answered for this long is dropped, so that the
+  // change it is part of does not block all others.
+  Duration learner_patience = Seconds(6);
+};
+
+// What the leader knows.
+struct MemberPicture {
+  Membership membership;
+  // Folders that ask for admission, by node.
+  std::map<NodeId, MemberId> awaiting;
+  // For how long each other member has not answered.
+  std::map<MemberId, Duration> unheard;
+};
+
+// The picture of a replica that leads; nothing where it does not.
+std::optional<MemberPicture> PictureOf(const Replica& replica, TimePoint now);
+
+// The next change to ask for; nothing where none is due.
+std::optional<MembershipChange> NextChange(const MemberPicture& picture,
+                                           const MemberKeeperOptions& options);
+
+}  // namespace bilberryspool::consensus
+
+#endif  // LIBS_CONSENSUS_MEMBER_KEEPER_H_
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -106,8 +106,17 @@
   return d_->acceptor.local_endpoint(ignored).port();
 }
 
+void HttpServer::CloseAfterAnswers() {
+  d_->state->closes_after_answers = true;
+}
+
+void HttpServer::SetIdleTimeout(Duration timeout) {
+  d_->state->options.idle_timeout = timeout;
+}
+
 void HttpServer::Drain() {
   d_->state->is_draining = true;
+  d_->state->closes_after_answers = true;
   boost::system::error_code ignored;
   d_->acceptor.close(ignored);
   for (const auto& connection : d_->connections) {
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -86,6 +86,13 @@
   // The port that is listened on; useful where the options say 0.
   std::uint16_t port() const;
 
+  // From now on each answer ends its connection; new ones are still accepted.
+  // The first half of a planned stop: callers move on before they are closed.
+  void CloseAfterAnswers();
+
+  // How long a connection may be without a request, from the next one on.
+  void SetIdleTimeout(Duration timeout);
+
   // Stops accepting and ends idle connections; requests in progress go on and
   // their connections close after the answer.
   void Drain();
--- a/src/libs/net/internal/beast_convert.cc
+++ b/src/libs/net/internal/beast_convert.cc
@@ -32,7 +32,10 @@
   message.method_string(request.method);
   message.target(request.target);
   ToFields(request.headers, message);
-  message.set(http::field::host, host);
+  // A relayed request keeps the host that its caller named.
+  if (message.find(http::field::host) == message.end()) {
+    message.set(http::field::host, host);
+  }
   message.keep_alive(true);
   message.body() = request.body;
   message.prepare_payload();
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -17,6 +17,9 @@
   HttpServerOptions options;
   HttpHandler handler;
   HttpServerCounts counts;
+  // Answers end their connections.
+  bool closes_after_answers = false;
+  // Besides, nothing more is accepted.
   bool is_draining = false;
 };
 
--- a/src/libs/net/internal/server_exchange.cc
+++ b/src/libs/net/internal/server_exchange.cc
@@ -48,7 +48,7 @@
     return false;
   }
   has_responded_ = true;
-  if (connection_.state_->is_draining) {
+  if (connection_.state_->closes_after_answers) {
     connection_.keep_alive_ = false;
   }
   http::response<http::span_body<const char>> response;
@@ -73,7 +73,7 @@
     return false;
   }
   has_responded_ = true;
-  if (connection_.state_->is_draining) {
+  if (connection_.state_->closes_after_answers) {
     connection_.keep_alive_ = false;
   }
   http::response<http::empty_body> response;
--- a/src/libs/net/network_loop.cc
+++ b/src/libs/net/network_loop.cc
@@ -23,18 +23,25 @@
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable stop_changed;
   bool is_stopping = false;
-  boost::asio::signal_set signals{io};
-  std::function<void()> on_signal;
-
-  void WaitForSignal() {
-    signals.async_wait([this](const boost::system::error_code& error, int) {
-      if (error) {
-        return;
-      }
-      on_signal();
-      WaitForSignal();
-    });
-  }
+  // Runs a function for each signal of its set.
+  struct SignalWatch {
+    explicit SignalWatch(boost::asio::io_context& io) : signals(io) {}
+
+    void Wait() {
+      signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (error) {
+          return;
+        }
+        on_signal();
+        Wait();
+      });
+    }
+
+    boost::asio::signal_set signals;
+    std::function<void()> on_signal;
+  };
+  SignalWatch stop_watch{io};
+  SignalWatch reload_watch{io};
 };
 
 NetworkLoop::NetworkLoop() : d_(std::make_unique<Private>()) {}
@@ -70,10 +77,16 @@
 }
 
 void NetworkLoop::OnStopSignal(std::function<void()> on_signal) {
-  d_->on_signal = std::move(on_signal);
-  d_->signals.add(SIGTERM);
-  d_->signals.add(SIGINT);
-  d_->WaitForSignal();
+  d_->stop_watch.on_signal = std::move(on_signal);
+  d_->stop_watch.signals.add(SIGTERM);
+  d_->stop_watch.signals.add(SIGINT);
+  d_->stop_watch.Wait();
+}
+
+void NetworkLoop::OnReloadSignal(std::function<void()> on_signal) {
+  d_->reload_watch.on_signal = std::move(on_signal);
+  d_->reload_watch.signals.add(SIGHUP);
+  d_->reload_watch.Wait();
 }
 
 void NetworkLoop::WaitForStop() {
--- a/src/libs/net/network_loop.h
+++ b/src/libs/net/network_loop.h
@@ -41,6 +41,9 @@
   // It must not suspend; it may Spawn().
   void OnStopSignal(std::function<void()> on_signal);
 
+  // The same for SIGHUP, the sign that the settings file has changed.
+  void OnReloadSignal(std::function<void()> on_signal);
+
   // Suspends the calling fiber until Stop() is called.
   void WaitForStop();
   void Stop();
--- a/src/libs/settings/contradictions.cc
+++ b/src/libs/settings/contradictions.cc
@@ -126,6 +126,24 @@
   }
 }
 
+void CheckRole(const Settings&,
+               const GatewaySettings& gateway,
+               Contradictions& found) {
+  CheckApart({{"callers.listen", gateway.callers_listen},
+              {"readiness.listen", gateway.readiness_listen},
+              {"metrics.listen", gateway.metrics_listen}},
+             found);
+}
+
+void CheckRole(const Settings&,
+               const ControlSettings& control,
+               Contradictions& found) {
+  CheckApart({{"operators.listen", control.operators_listen},
+              {"peers.listen", control.peers_listen},
+              {"metrics.listen", control.metrics_listen}},
+             found);
+}
+
 }  // namespace
 
 std::vector<Contradiction> FindContradictions(const Settings& settings) {
--- a/src/libs/settings/key_kind.cc
+++ b/src/libs/settings/key_kind.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <set>
+#include <sstream>
 
 #include "libs/base/overloaded.h"
 
@@ -94,6 +96,30 @@
   return elements;
 }
 
+// Floats come as text, since most keys take none.
+std::optional<double> ToNumber(const RawValue& raw) {
+  if (const auto* whole = std::get_if<std::int64_t>(&raw.value)) {
+    return static_cast<double>(*whole);
+  }
+  const auto* other = std::get_if<OtherValue>(&raw.value);
+  if (other == nullptr) {
+    return std::nullopt;
+  }
+  double number = 0.0;
+  const char* end = other->text.data() + other->text.size();
+  const auto parsed = std::from_chars(other->text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string ShortNumber(double number) {
+  std::ostringstream text;
+  text << number;
+  return text.str();
+}
+
 // Converts one value; a visitor of KeyKind.
 struct Converter {
   const RawValue& raw;
@@ -152,6 +178,14 @@
   std::optional<KeyValue> operator()(const MemberListKind&) const {
     return ToList<InitialMember>(raw, 0, &ToMember);
   }
+
+  std::optional<KeyValue> operator()(const NumberKind& kind) const {
+    const std::optional<double> number = ToNumber(raw);
+    if (!number || !(*number >= kind.min && *number <= kind.max)) {
+      return std::nullopt;
+    }
+    return *number;
+  }
 };
 
 std::string Quote(const std::string& text) {
@@ -216,6 +250,10 @@
                 "a list of { node = \"NAME\", address = \"ip:port\" } without "
                 "repeats");
           },
+          [](const NumberKind& number) {
+            return "a number from " + ShortNumber(number.min) + " to " +
+                   ShortNumber(number.max);
+          },
       },
       kind);
 }
@@ -228,6 +266,7 @@
       Overloaded{
           [](bool flag) { return std::string(flag ? "true" : "false"); },
           [](std::int64_t number) { return std::to_string(number); },
+          [](double number) { return ShortNumber(number); },
           [](const std::string& text) { return Quote(text); },
           [](const std::vector<std::string>& list) {
             return "[" + Join(list, &Quote) + "]";
--- a/src/libs/settings/key_kind.h
+++ b/src/libs/settings/key_kind.h
@@ -40,6 +40,11 @@
   std::size_t min_size = 0;
 };
 struct MemberListKind {};
+// A number that need not be whole.
+struct NumberKind {
+  double min = 0.0;
+  double max = 0.0;
+};
 
 using KeyKind = std::variant<FlagKind,
                              IntegerKind,
@@ -49,7 +54,8 @@
                              ChoiceKind,
                              AddressKind,
                              AddressListKind,
-                             MemberListKind>;
+                             MemberListKind,
+                             NumberKind>;
 
 // A checked value. Names and paths are texts.
 using KeyValue = std::variant<bool,
@@ -58,7 +64,8 @@
                               std::vector<std::string>,
                               SocketAddress,
                               std::vector<SocketAddress>,
-                              std::vector<InitialMember>>;
+                              std::vector<InitialMember>,
+                              double>;
 
 // The checked value, or nothing where `raw` is not of that kind.
 std::optional<KeyValue> Convert(const KeyKind& kind, const RawValue& raw);
--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -1,5 +1,6 @@
 #include "libs/settings/key_table.h"
 
+#include <cmath>
 #include <type_traits>
 
 namespace bilberryspool::settings {
@@ -33,7 +34,13 @@
   field = is_plain ? EngineKind::kPlain : EngineKind::kEngine;
 }
 
+// Whole numbers are milliseconds, others seconds.
 void Assign(Duration& field, const KeyValue& value) {
+  if (const auto* seconds = std::get_if<double>(&value)) {
+    constexpr double kMicrosecondsPerSecond = 1e6;
+    field = Microseconds(std::llround(*seconds * kMicrosecondsPerSecond));
+    return;
+  }
   field = Milliseconds(std::get<std::int64_t>(value));
 }
 
@@ -81,6 +88,20 @@
   };
 }
 
+template <typename Accessor>
+auto InGateway(Accessor accessor) {
+  return [accessor](Settings& settings, const KeyValue& value) {
+    Assign(accessor(std::get<GatewaySettings>(settings.role)), value);
+  };
+}
+
+template <typename Accessor>
+auto InControl(Accessor accessor) {
+  return [accessor](Settings& settings, const KeyValue& value) {
+    Assign(accessor(std::get<ControlSettings>(settings.role)), value);
+  };
+}
+
 template <typename Accessor>
 auto InAgent(Accessor accessor) {
   return [accessor](Settings& settings, const KeyValue& value) {
@@ -107,7 +128,7 @@
 
 void AddCommonKeys(Specs& specs) {
   using S = CommonSettings;
-  constexpr auto scope = KeyScope::kBoth;
+  constexpr auto scope = KeyScope::kAll;
   specs.push_back({"deployment", scope, NameKind{}, Required{},
                    "Name of the deployment; a process of another one is "
                    "refused.",
@@ -126,7 +147,7 @@
                    "Least level that is logged at the start.",
                    InCommon([](S & s) -> auto& { return s.log.level; })});
   specs.push_back({"log.file", scope, PathKind{true}, Text(""),
-                   "File of the log; empty: standard error.",
+                   "File of the log; empty: standard error; \"-\": standard output.",
                    InCommon([](S & s) -> auto& { return s.log.file; })});
   specs.push_back({"trace.file", scope, PathKind{true}, Text(""),
                    "File of the spans, OTLP/JSON lines; empty: no traces.",
@@ -270,6 +291,101 @@
                    InAgent([](S & s) -> auto& { return PlaceOf(s).rank; })});
 }
 
+void AddGatewayKeys(Specs& specs) {
+  using S = GatewaySettings;
+  constexpr auto scope = KeyScope::kGateway;
+  specs.push_back({"callers.listen", scope, AddressKind{true}, Required{},
+                   "Where callers and the platform's balancer connect.",
+                   InGateway([](S & s) -> auto& { return s.callers_listen; })});
+  specs.push_back(
+      {"readiness.listen", scope, AddressKind{true}, Required{},
+       "Where the platform's balancer asks whether to send callers here.",
+       InGateway([](S & s) -> auto& { return s.readiness_listen; })});
+  specs.push_back({"metrics.listen", scope, AddressKind{true}, Required{},
+                   "Where counters and histograms are read.",
+                   InGateway([](S & s) -> auto& { return s.metrics_listen; })});
+  specs.push_back({"control.seeds", scope, AddressListKind{1}, Required{},
+                   "Control nodes to ask first, of which the IP number counts.",
+                   InGateway([](S & s) -> auto& { return s.seeds; })});
+  specs.push_back(
+      {"control.peers_port", scope, IntegerKind{1, 65535}, Required{},
+       "Port at which each control node serves the system's processes.",
+       InGateway([](S & s) -> auto& { return s.control_peers_port; })});
+  specs.push_back(
+      {"limits.max_open_connections", scope, IntegerKind{1, 1'000'000},
+       Integer(3'000), "Connections of callers open at a time.",
+       InGateway([](S & s) -> auto& { return s.max_open_connections; })});
+  specs.push_back({"drain.grace_s", scope, NumberKind{0.0, 86400.0},
+                   Required{},
+                   "How long after the stop signal the platform ends the "
+                   "process.",
+                   InGateway([](S & s) -> auto& { return s.drain_grace; })});
+  specs.push_back(
+      {"retries.ratio", scope, NumberKind{0.0, 1.0}, Required{},
+       "Sends beyond the first of each request that all gateways together may "
+       "make, as a share of the requests for a service.",
+       InGateway([](S & s) -> auto& { return s.retries.ratio; })});
+  specs.push_back({"retries.slack", scope, NumberKind{0.0, 1e6}, Required{},
+                   "Such sends allowed on top of that in each window.",
+                   InGateway([](S & s) -> auto& { return s.retries.slack; })});
+  specs.push_back({"retries.window_s", scope, NumberKind{0.001, 3600.0},
+                   Required{}, "Length of the window that both count in.",
+                   InGateway([](S & s) -> auto& { return s.retries.window; })});
+}
+
+void AddControlKeys(Specs& specs) {
+  using S = ControlSettings;
+  constexpr auto scope = KeyScope::kControl;
+  specs.push_back(
+      {"operators.listen", scope, AddressKind{true}, Required{},
+       "Where operators connect and targets announce themselves.",
+       InControl([](S & s) -> auto& { return s.operators_listen; })});
+  specs.push_back({"peers.listen", scope, AddressKind{}, Required{},
+                   "Where the system's other processes connect; also the name "
+                   "of this replica.",
+                   InControl([](S & s) -> auto& { return s.peers_listen; })});
+  specs.push_back({"metrics.listen", scope, AddressKind{true}, Required{},
+                   "Where counters and histograms are read.",
+                   InControl([](S & s) -> auto& { return s.metrics_listen; })});
+  specs.push_back(
+      {"control.seeds", scope, AddressListKind{}, Required{},
+       "Control nodes to ask first, of which the IP number counts; at the "
+       "first start they vote.",
+       InControl([](S & s) -> auto& { return s.seeds; })});
+  specs.push_back({"data_folder", scope, PathKind{}, Required{},
+                   "Folder on a disk for the control state.",
+                   InControl([](S & s) -> auto& { return s.data_folder; })});
+  specs.push_back({"control.first_start", scope, FlagKind{}, Required{},
+                   "True only while all disks of the deployment are empty.",
+                   InControl([](S & s) -> auto& { return s.is_first_start; })});
+  specs.push_back(
+      {"control.tolerated_losses", scope, IntegerKind{0, 16}, Integer(1),
+       "Data folders that may be lost at the same time.",
+       InControl([](S & s) -> auto& { return s.tolerated_losses; })});
+  specs.push_back(
+      {"announcements.interval_ms", scope, IntegerKind{1, kDayMs}, Required{},
+       "How often a target announces itself.",
+       InControl([](S & s) -> auto& { return s.announcement_interval; })});
+  specs.push_back({"drain.grace_s", scope, NumberKind{0.0, 86400.0},
+                   Required{},
+                   "How long after the stop signal the platform ends the "
+                   "process.",
+                   InControl([](S & s) -> auto& { return s.drain_grace; })});
+}
+
+KeyScope ScopeOf(const EntrySettings&) {
+  return KeyScope::kEntry;
+}
+KeyScope ScopeOf(const AgentSettings&) {
+  return KeyScope::kAgent;
+}
+KeyScope ScopeOf(const GatewaySettings&) {
+  return KeyScope::kGateway;
+}
+KeyScope ScopeOf(const ControlSettings&) {
+  return KeyScope::kControl;
+}
+
 Specs BuildTable() {
   Specs specs;
   AddCommonKeys(specs);
@@ -278,6 +394,8 @@
   AddEntryLimitKeys(specs);
   AddAgentKeys(specs);
   AddEngineKeys(specs);
+  AddGatewayKeys(specs);
+  AddControlKeys(specs);
   return specs;
 }
 
@@ -289,16 +407,9 @@
 }
 
 bool Fits(KeyScope scope, const Settings& settings) {
-  const bool is_entry = std::holds_alternative<EntrySettings>(settings.role);
-  switch (scope) {
-    case KeyScope::kBoth:
-      return true;
-    case KeyScope::kEntry:
-      return is_entry;
-    case KeyScope::kAgent:
-      return !is_entry;
-  }
-  return false;
+  return scope == KeyScope::kAll ||
+         std::visit([scope](const auto& role) { return scope == ScopeOf(role); },
+                    settings.role);
 }
 
 }  // namespace bilberryspool::settings
--- a/src/libs/settings/key_table.h
+++ b/src/libs/settings/key_table.h
@@ -13,7 +13,7 @@
 namespace bilberryspool::settings {
 
 // Which files a key may stand in.
-enum class KeyScope { kBoth, kEntry, kAgent };
+enum class KeyScope { kAll, kEntry, kAgent, kGateway, kControl };
 
 // What happens where a key is missing.
 struct Required {};
@@ -27,7 +27,7 @@
 // follow from the table of these, so that they can't drift apart.
 struct KeySpec {
   std::string name;  // dotted; the unit is its last word
-  KeyScope scope = KeyScope::kBoth;
+  KeyScope scope = KeyScope::kAll;
   KeyKind kind;
   Presence presence;
   std::string meaning;
@@ -39,6 +39,8 @@
 inline constexpr std::string_view kRoleKey = "role";
 inline constexpr std::string_view kEntryRole = "entry";
 inline constexpr std::string_view kAgentRole = "agent";
+inline constexpr std::string_view kGatewayRole = "gateway";
+inline constexpr std::string_view kControlRole = "control";
 
 const std::vector<KeySpec>& KeyTable();
 
--- a/src/libs/settings/load.cc
+++ b/src/libs/settings/load.cc
@@ -69,17 +69,21 @@
     const RawValue* raw = Find(kRoleKey);
     const auto* text =
         raw != nullptr ? std::get_if<std::string>(&raw->value) : nullptr;
-    if (text != nullptr && *text == kEntryRole) {
+    const std::string role = text != nullptr ? *text : "";
+    if (role == kEntryRole) {
       settings_.role.emplace<EntrySettings>();
-      return true;
-    }
-    if (text != nullptr && *text == kAgentRole) {
+    } else if (role == kAgentRole) {
       settings_.role.emplace<AgentSettings>();
-      return true;
+    } else if (role == kGatewayRole) {
+      settings_.role.emplace<GatewaySettings>();
+    } else if (role == kControlRole) {
+      settings_.role.emplace<ControlSettings>();
+    } else {
+      Refuse(std::string(kRoleKey), raw != nullptr ? Describe(*raw) : "nothing",
+             "one of \"entry\", \"agent\", \"gateway\", \"control\"");
+      return false;
     }
-    Refuse(std::string(kRoleKey), raw != nullptr ? Describe(*raw) : "nothing",
-           "one of \"entry\", \"agent\"");
-    return false;
+    return true;
   }
 
   void RefuseStrangers() {
@@ -91,21 +95,43 @@
       if (spec == nullptr) {
         Refuse(key, "an unknown key", "the keys of docs/SETTINGS.md");
       } else if (!Fits(spec->scope, settings_)) {
-        const bool for_entry = spec->scope == KeyScope::kEntry;
-        Refuse(key, "a key of the other role",
-               std::string("this key beside role = ") +
-                   (for_entry ? "\"entry\"" : "\"agent\""));
+        Refuse(key, "a key of another role",
+               "this key beside role = \"" + std::string(RoleOf(spec->scope)) +
+                   "\"");
       }
     }
   }
 
-  static const KeySpec* FindSpec(const std::string& key) {
+  static std::string_view RoleOf(KeyScope scope) {
+    switch (scope) {
+      case KeyScope::kAll:
+      case KeyScope::kEntry:
+        return kEntryRole;
+      case KeyScope::kAgent:
+        return kAgentRole;
+      case KeyScope::kGateway:
+        return kGatewayRole;
+      case KeyScope::kControl:
+        return kControlRole;
+    }
+    return kEntryRole;
+  }
+
+  // Several roles may have a key of one name; that of this role goes first.
+  const KeySpec* FindSpec(const std::string& key) const {
+    const KeySpec* other = nullptr;
     for (const KeySpec& spec : KeyTable()) {
-      if (spec.name == key) {
+      if (spec.name != key) {
+        continue;
+      }
+      if (Fits(spec.scope, settings_)) {
         return &spec;
       }
+      if (other == nullptr) {
+        other = &spec;
+      }
     }
-    return nullptr;
+    return other;
   }
 
   // A heading such as [log] with no key below it.
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -25,7 +25,7 @@
 
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;
-  std::string file;  // empty: standard error
+  std::string file;  // empty: standard error; "-": standard output
 };
 
 struct TraceSettings {
@@ -112,10 +112,47 @@
   std::optional<GroupPlace> group_place;
 };
 
+// How many sends beyond the first of each request a service may get from all
+// gateways together, in any window.
+struct RetryLimits {
+  double ratio = 0.0;  // of the requests for the service
+  double slack = 0.0;  // requests on top of that, in each window
+  Duration window{};
+};
+
+// An entry without agents: it calls the targets themselves and keeps nothing
+// on a disk.
+struct GatewaySettings {
+  SocketAddress callers_listen;
+  SocketAddress readiness_listen;
+  std::vector<SocketAddress> seeds;  // of control nodes
+  std::uint32_t control_peers_port = 0;
+  SocketAddress metrics_listen;
+  std::uint64_t max_open_connections = 0;
+  Duration drain_grace{};
+  RetryLimits retries;
+};
+
+// A control replica that serves no callers.
+struct ControlSettings {
+  SocketAddress operators_listen;
+  SocketAddress peers_listen;
+  SocketAddress metrics_listen;
+  std::vector<SocketAddress> seeds;  // of control nodes
+  std::string data_folder;
+  // Only true at the first start of a deployment, when all disks are empty.
+  bool is_first_start = false;
+  // Data folders that may be lost at the same time.
+  std::uint32_t tolerated_losses = 0;
+  Duration announcement_interval{};
+  Duration drain_grace{};
+};
+
 // The settings of one process; `role` holds those of its role.
 struct Settings {
   CommonSettings common;
-  std::variant<EntrySettings, AgentSettings> role;
+  std::variant<EntrySettings, AgentSettings, GatewaySettings, ControlSettings>
+      role;
 };
 
 }  // namespace bilberryspool::settings
--- a/src/libs/settings/settings_page.cc
+++ b/src/libs/settings/settings_page.cc
@@ -8,14 +8,14 @@
 
 constexpr std::string_view kIntroduction = R"(# Settings
 
-Each process reads one TOML file: `bilberryspool entry --settings FILE` or
-`bilberryspool agent --settings FILE`. `bilberryspool check FILE` checks a file
+Each process reads one TOML file: `bilberryspool ROLE --settings=FILE`, where
+ROLE is `entry`, `agent`, `gateway` or `control`. `bilberryspool check FILE` checks a file
 without starting anything: exit 0, or 1 with a line for each fault that names
 file, line, key, what was found and what is accepted. The whole file is checked
 before anything starts; an unknown key is a fault. Samples are under `share/`.
 
 The unit of a number is the last word of its key: `_ms`, `_bytes`, `_slots`,
-`_permille`. A key with a dot, such as `log.level`, is `level` in the table
+`_permille`, `_s`. A key with a dot, such as `log.level`, is `level` in the table
 `[log]`. Addresses are IP numbers with a port, never host names.
 
 This page is made from the table of keys in `src/libs/settings/key_table.cc`;
@@ -33,12 +33,15 @@
 - `control.initial_members` needs `data_folder`, names each node and address
   once, and holds this node at its `peers.advertise`.
 - `operators.credential_file` is not `key_file`; `trace.file` is not `log.file`.
+- `callers.listen`, `readiness.listen` and `metrics.listen` of a gateway don't
+  overlap, nor do `operators.listen`, `peers.listen` and `metrics.listen` of a
+  control node.
 - `group.name` and `group.rank` stand together. With `engine.kind = "plain"`
   there is neither a group nor `engine.checks_fencing`.
 
 ## `role`
 
-`role = "entry"` or `role = "agent"`, required. It says which of the keys below
+`role = "entry"`, `"agent"`, `"gateway"` or `"control"`, required. It says which of the keys below
 may stand in the file.
 )";
 
@@ -70,9 +73,11 @@
 
 std::string SettingsPage() {
   std::string text(kIntroduction);
-  text += Section("Keys of both roles", KeyScope::kBoth);
+  text += Section("Keys of all roles", KeyScope::kAll);
   text += Section("Keys of an entry", KeyScope::kEntry);
   text += Section("Keys of an agent", KeyScope::kAgent);
+  text += Section("Keys of a gateway", KeyScope::kGateway);
+  text += Section("Keys of a control node", KeyScope::kControl);
   return text;
 }
 
--- a/src/libs/telemetry/log.cc
+++ b/src/libs/telemetry/log.cc
@@ -1,7 +1,13 @@
 #include "libs/telemetry/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <atomic>
+#include <climits>
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 #include <log4cplus/consoleappender.h>
@@ -10,6 +16,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/nullappender.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace bilberryspool::telemetry {
 namespace {
@@ -42,7 +49,63 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+// Lines on standard output that were dropped because nobody read them.
+std::atomic<std::uint64_t> dropped_lines{0};
+
+// Writes to standard output without ever waiting for its reader: where the
+// reader has stopped, a blocking write would stop every thread that logs, and
+// with it the requests. Such a line is dropped and counted; the next line that
+// gets through is preceded by the count.
+class StandardOutputAppender : public log4cplus::Appender {
+ public:
+  ~StandardOutputAppender() override { destructorImpl(); }
+  void close() override {}
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream text;
+    layout->formatAndAppend(text, event);
+    if (reported_ != dropped_lines.load() && !Report()) {
+      ++dropped_lines;
+      return;
+    }
+    if (!WriteLine(text.str())) {
+      ++dropped_lines;
+    }
+  }
+
+ private:
+  bool Report() {
+    const std::uint64_t dropped = dropped_lines.load();
+    if (!WriteLine("WARN [log] Lines were dropped. count=" +
+                   std::to_string(dropped - reported_) + "\n")) {
+      return false;
+    }
+    reported_ = dropped;
+    return true;
+  }
+
+  // A pipe that polls writable takes PIPE_BUF bytes at once.
+  static bool WriteLine(std::string line) {
+    if (line.size() > PIPE_BUF) {
+      line.resize(PIPE_BUF - 1);
+      line += '\n';
+    }
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+      return false;
+    }
+    return write(STDOUT_FILENO, line.data(), line.size()) ==
+           static_cast<ssize_t>(line.size());
+  }
+
+  std::uint64_t reported_ = 0;
+};
+
 log4cplus::SharedAppenderPtr MakeAppender(const std::string& file) {
+  if (file == kStandardOutput) {
+    return log4cplus::SharedAppenderPtr(new StandardOutputAppender);
+  }
   if (file.empty()) {
     return log4cplus::SharedAppenderPtr(
         new log4cplus::ConsoleAppender(true, true));
@@ -98,7 +161,9 @@
 std::variant<LogOutput, LogError> LogOutput::Open(const LogOptions& options) {
   StartLibrary();
   // The library would complain on standard error and go on without a log.
-  if (!options.file.empty() && !std::ofstream(options.file, std::ios::app)) {
+  const bool is_file =
+      !options.file.empty() && options.file != kStandardOutput;
+  if (is_file && !std::ofstream(options.file, std::ios::app)) {
     return LogError{"can't write to " + options.file};
   }
   auto d = std::make_unique<Private>();
@@ -109,6 +174,10 @@
   return LogOutput(std::move(d));
 }
 
+std::uint64_t DroppedLogLines() {
+  return dropped_lines.load();
+}
+
 void SetLogLevel(LogLevel level) {
   StartLibrary();
   log4cplus::Logger::getRoot().setLogLevel(ToLibraryLevel(level));
--- a/src/libs/telemetry/log.h
+++ b/src/libs/telemetry/log.h
@@ -9,6 +9,7 @@
 #define LIBS_TELEMETRY_LOG_H_
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <memory>
 #include <string>
@@ -34,9 +35,16 @@
 
 struct LogOptions {
   LogLevel level = LogLevel::kInfo;
-  std::string file;  // empty: standard error; else appended to
+  // Empty: standard error; kStandardOutput; else a file that is appended to.
+  std::string file;
 };
 
+// Names standard output, to which lines go without waiting for its reader.
+inline constexpr std::string_view kStandardOutput = "-";
+
+// Lines that were dropped because standard output's reader was too slow.
+std::uint64_t DroppedLogLines();
+
 struct LogError {
   std::string what;
 };
--- /dev/null
+++ b/src/libs/traffic/event_splitter.cc
@@ -0,0 +1,59 @@
+#include "libs/traffic/event_splitter.h"
+
+#include <algorithm>
+
+namespace bilberryspool::traffic {
+
+namespace {
+
+// The end of the last blank line of `text`, or 0: an event ends with one, and
+// its lines end with "\n" or "\r\n".
+std::size_t EndOfLastEvent(std::string_view text) {
+  std::size_t end = 0;
+  const std::size_t plain = text.rfind("\n\n");
+  if (plain != std::string_view::npos) {
+    end = plain + 2;
+  }
+  const std::size_t with_return = text.rfind("\n\r\n");
+  if (with_return != std::string_view::npos) {
+    end = std::max(end, with_return + 3);
+  }
+  return end;
+}
+
+}  // namespace
+
+std::string EventSplitter::Take(std::string_view bytes) {
+  pending_ += bytes;
+  const std::size_t end = EndOfLastEvent(pending_);
+  std::string events = pending_.substr(0, end);
+  pending_.erase(0, end);
+  NoteIds(events);
+  return events;
+}
+
+void EventSplitter::NoteIds(std::string_view events) {
+  constexpr std::string_view kField = "id:";
+  std::size_t start = 0;
+  while (start < events.size()) {
+    std::size_t end = events.find('\n', start);
+    if (end == std::string_view::npos) {
+      end = events.size();
+    }
+    std::string_view line = events.substr(start, end - start);
+    start = end + 1;
+    if (!line.starts_with(kField)) {
+      continue;
+    }
+    line.remove_prefix(kField.size());
+    if (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    last_id_ = std::string(line);
+  }
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/json_reading.h
@@ -0,0 +1,66 @@
+// Reads the members of a JSON object, each with its type.
+
+#ifndef LIBS_TRAFFIC_JSON_READING_H_
+#define LIBS_TRAFFIC_JSON_READING_H_
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bilberryspool::traffic {
+
+// Each is nothing where the member is missing or of another type.
+inline std::optional<std::string> Text(const boost::json::object& object,
+                                       std::string_view key) {
+  const boost::json::value* value = object.if_contains(key);
+  if (value == nullptr || !value->is_string()) {
+    return std::nullopt;
+  }
+  return std::string(value->as_string());
+}
+
+// A whole number that is not negative.
+inline std::optional<std::uint64_t> Number(const boost::json::object& object,
+                                           std::string_view key) {
+  const boost::json::value* value = object.if_contains(key);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto number = value->to_number<std::uint64_t>(error);
+  return error ? std::nullopt : std::optional<std::uint64_t>(number);
+}
+
+inline std::optional<double> Decimal(const boost::json::object& object,
+                                     std::string_view key) {
+  const boost::json::value* value = object.if_contains(key);
+  if (value == nullptr || !value->is_number()) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto number = value->to_number<double>(error);
+  return error ? std::nullopt : std::optional<double>(number);
+}
+
+inline std::optional<bool> Flag(const boost::json::object& object,
+                                std::string_view key) {
+  const boost::json::value* value = object.if_contains(key);
+  if (value == nullptr || !value->is_bool()) {
+    return std::nullopt;
+  }
+  return value->as_bool();
+}
+
+// Null where the member is missing or no array.
+inline const boost::json::array* List(const boost::json::object& object,
+                                      std::string_view key) {
+  const boost::json::value* value = object.if_contains(key);
+  return value == nullptr ? nullptr : value->if_array();
+}
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_JSON_READING_H_
--- /dev/null
+++ b/src/libs/traffic/relay_rules.h
@@ -0,0 +1,46 @@
+// What follows when a target did not serve a request.
+
+#ifndef LIBS_TRAFFIC_RELAY_RULES_H_
+#define LIBS_TRAFFIC_RELAY_RULES_H_
+
+#include <cstdint>
+
+#include "libs/base/time.h"
+
+namespace bilberryspool::traffic {
+
+// How one send ended, where it was not a whole success.
+enum class SendResult {
+  kNotSent,      // no connection: not a byte left this process
+  kNotExecuted,  // the target says that it did not run it and never will
+  kFailed,       // the target ran it and answered a failure
+  kUnknown,      // it may have run: broke off, silent, or spoke nonsense
+};
+
+struct RelayState {
+  // Whether the request may run more than once.
+  bool may_repeat = false;
+  SendResult last = SendResult::kNotSent;
+  // Whether a send before the last one may have run it.
+  bool may_have_run_before = false;
+  std::uint32_t sends = 0;
+  std::uint32_t allowed_sends = 1;
+  Duration time_left{};
+};
+
+enum class RelayStep {
+  kSendAgain,        // to another target
+  kPassFailureOn,    // the target's own failure, as it is
+  kRefuse,           // not run, and never will be: say when to come back
+  kFail,             // it may have run, or ran and left no answer
+  kFailInTime,       // the same, because the time is over
+};
+
+// The rules: what may not be repeated is sent again only on proof that it did
+// not run, since a caller may act twice on an answer given twice; what may
+// have run is never called refused, since the caller would send it again.
+RelayStep NextStep(const RelayState& state);
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_RELAY_RULES_H_
--- /dev/null
+++ b/src/libs/traffic/route_table.cc
@@ -0,0 +1,75 @@
+#include "libs/traffic/route_table.h"
+
+#include <utility>
+
+namespace bilberryspool::traffic {
+
+RouteTable::RouteTable(
+    std::shared_ptr<const TrafficConfiguration> configuration)
+    : configuration_(std::move(configuration)) {
+  for (const Route& route : configuration_->routes) {
+    routes_[route.host][route.path_prefix] = &route;
+  }
+}
+
+// Prefixes end with a slash, so only the path's own slashes can end one; the
+// longest is tried first.
+const Route* RouteTable::FindRoute(std::string_view host,
+                                   std::string_view path) const {
+  const auto prefixes = routes_.find(host);
+  if (prefixes == routes_.end()) {
+    return nullptr;
+  }
+  std::size_t slash = path.rfind('/');
+  while (slash != std::string_view::npos) {
+    const auto found = prefixes->second.find(path.substr(0, slash + 1));
+    if (found != prefixes->second.end()) {
+      return found->second;
+    }
+    if (slash == 0) {
+      break;
+    }
+    slash = path.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+RouteOutcome RouteTable::Match(std::string_view host,
+                               std::string_view path,
+                               std::string_view key) const {
+  const Route* route = FindRoute(host, path);
+  if (route == nullptr) {
+    return NoRoute{};
+  }
+  RouteMatch match{route, nullptr, route->priority};
+  if (!configuration_->has_workspaces) {
+    return match;
+  }
+  const auto held = configuration_->keys.find(std::string(key));
+  if (held != configuration_->keys.end()) {
+    match.holder = &held->second;
+    match.priority = held->second.priority.value_or(route->priority);
+    return match;
+  }
+  if (route->allows_anonymous) {
+    return match;
+  }
+  return KeyUnknown{};
+}
+
+const ServiceId& ChooseService(const Route& route, double draw) {
+  std::uint64_t total = 0;
+  for (const Split& split : route.splits) {
+    total += split.weight;
+  }
+  double left = draw * static_cast<double>(total);
+  for (const Split& split : route.splits) {
+    left -= static_cast<double>(split.weight);
+    if (left < 0.0) {
+      return split.service;
+    }
+  }
+  return route.splits.back().service;
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/route_table.h
@@ -0,0 +1,61 @@
+// Finds the route of a request and whose it is.
+
+#ifndef LIBS_TRAFFIC_ROUTE_TABLE_H_
+#define LIBS_TRAFFIC_ROUTE_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "libs/traffic/traffic_configuration.h"
+
+namespace bilberryspool::traffic {
+
+struct NoRoute {};
+// No key, or one that no workspace holds.
+struct KeyUnknown {};
+
+// A request that the configuration allows.
+struct RouteMatch {
+  const Route* route = nullptr;
+  // Null for an anonymous request.
+  const KeyHolder* holder = nullptr;
+  std::uint32_t priority = 0;
+};
+
+using RouteOutcome = std::variant<RouteMatch, NoRoute, KeyUnknown>;
+
+// An index over one configuration, which it keeps alive. Immutable.
+class RouteTable {
+ public:
+  explicit RouteTable(
+      std::shared_ptr<const TrafficConfiguration> configuration);
+
+  // `host` without a port, `path` without a query; `key` is empty where the
+  // request shows none.
+  RouteOutcome Match(std::string_view host,
+                     std::string_view path,
+                     std::string_view key) const;
+
+  const TrafficConfiguration& configuration() const { return *configuration_; }
+
+ private:
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
+  std::shared_ptr<const TrafficConfiguration> configuration_;
+  // By host, then by prefix.
+  std::map<std::string,
+           std::map<std::string, const Route*, std::less<>>,
+           std::less<>>
+      routes_;
+};
+
+// The service that a request goes to: `draw` is uniform in [0, 1).
+const ServiceId& ChooseService(const Route& route, double draw);
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/libs/traffic/target_book.cc
@@ -0,0 +1,95 @@
+#include "libs/traffic/target_book.h"
+
+#include <algorithm>
+
+namespace bilberryspool::traffic {
+
+namespace {
+
+// What gateways act on; the sequence alone is no news.
+bool SameForGateways(const TargetAnnouncement& left,
+                     const TargetAnnouncement& right) {
+  TargetAnnouncement aligned = right;
+  aligned.sequence = left.sequence;
+  return left == aligned;
+}
+
+}  // namespace
+
+bool TargetBook::Announce(const TargetAnnouncement& announcement,
+                          TimePoint now) {
+  const auto [found, is_new] = records_.try_emplace(announcement.target);
+  TargetRecord& record = found->second;
+  if (is_new) {
+    record = {announcement, false, ++revision_, now};
+    return true;
+  }
+  const TargetAnnouncement& known = record.announcement;
+  if (known.standing == Standing::kGone ||
+      announcement.sequence <= known.sequence) {
+    return false;
+  }
+  record.heard_at = now;
+  TargetAnnouncement next = announcement;
+  // Leaving is final: an announcement that says otherwise was overtaken.
+  next.standing = std::max(known.standing, announcement.standing);
+  const bool is_news = record.is_silent || !SameForGateways(known, next);
+  record.announcement = std::move(next);
+  record.is_silent = false;
+  if (is_news) {
+    record.revision = ++revision_;
+  }
+  return is_news;
+}
+
+bool TargetBook::Withdraw(const TargetId& target, TimePoint now) {
+  TargetRecord& record = records_[target];
+  if (record.announcement.standing == Standing::kGone) {
+    return false;
+  }
+  record.announcement.target = target;
+  record.announcement.standing = Standing::kGone;
+  record.heard_at = now;
+  record.revision = ++revision_;
+  return true;
+}
+
+bool TargetBook::Tick(TimePoint now) {
+  bool is_news = false;
+  for (auto& [target, record] : records_) {
+    if (record.is_silent || record.announcement.standing == Standing::kGone ||
+        now - record.heard_at < options_.silence) {
+      continue;
+    }
+    record.is_silent = true;
+    record.revision = ++revision_;
+    is_news = true;
+  }
+  Forget(now);
+  return is_news;
+}
+
+void TargetBook::Forget(TimePoint now) {
+  std::erase_if(records_, [&](const auto& item) {
+    return now - item.second.heard_at > options_.memory;
+  });
+  while (records_.size() > options_.max_records) {
+    records_.erase(std::min_element(
+        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+          return a.second.heard_at < b.second.heard_at;
+        }));
+  }
+}
+
+std::vector<TargetRecord> TargetBook::ChangedSince(
+    std::uint64_t revision) const {
+  std::vector<TargetRecord> changed;
+  for (const auto& [target, record] : records_) {
+    if (record.revision > revision) {
+      changed.push_back(record);
+    }
+  }
+  return changed;
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/target_codec.cc
@@ -0,0 +1,93 @@
+#include "libs/traffic/target_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "libs/traffic/json_reading.h"
+
+namespace bilberryspool::traffic {
+
+namespace json = boost::json;
+
+namespace {
+
+std::optional<GroupMembership> GroupFromJson(const json::value& value) {
+  const json::object* object = value.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto name = Text(*object, "name");
+  const auto epoch = Number(*object, "epoch");
+  const auto rank = Number(*object, "rank");
+  const auto size = Number(*object, "size");
+  const auto is_open = Flag(*object, "open");
+  if (!name || !epoch || !rank || !size || !is_open) {
+    return std::nullopt;
+  }
+  return GroupMembership{GroupId(*name), *epoch,
+                         static_cast<std::uint32_t>(*rank),
+                         static_cast<std::uint32_t>(*size), *is_open};
+}
+
+}  // namespace
+
+json::value ToJson(const TargetRecord& record) {
+  const TargetAnnouncement& target = record.announcement;
+  json::object object{
+      {"target", target.target.value()},
+      {"service", target.service.value()},
+      {"address", target.address},
+      {"domain", target.domain.value()},
+      {"slots", target.slots},
+      {"standing", static_cast<int>(target.standing)},
+      {"sequence", target.sequence},
+      {"silent", record.is_silent},
+  };
+  if (target.group.has_value()) {
+    object["group"] = {
+        {"name", target.group->group.value()}, {"epoch", target.group->epoch},
+        {"rank", target.group->rank},          {"size", target.group->size},
+        {"open", target.group->is_open},
+    };
+  }
+  return object;
+}
+
+std::optional<TargetRecord> TargetRecordFromJson(const json::value& value) {
+  const json::object* object = value.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto target = Text(*object, "target");
+  const auto service = Text(*object, "service");
+  const auto address = Text(*object, "address");
+  const auto domain = Text(*object, "domain");
+  const auto slots = Number(*object, "slots");
+  const auto standing = Number(*object, "standing");
+  const auto sequence = Number(*object, "sequence");
+  const auto is_silent = Flag(*object, "silent");
+  constexpr auto kLastStanding = static_cast<std::uint64_t>(Standing::kGone);
+  if (!target || !service || !address || !domain || !slots || !standing ||
+      *standing > kLastStanding || !sequence || !is_silent) {
+    return std::nullopt;
+  }
+  TargetRecord record;
+  record.announcement = {TargetId(*target),
+                         ServiceId(*service),
+                         *address,
+                         FailureDomain(*domain),
+                         static_cast<std::uint32_t>(*slots),
+                         static_cast<Standing>(*standing),
+                         *sequence,
+                         std::nullopt};
+  record.is_silent = *is_silent;
+  if (const json::value* group = object->if_contains("group")) {
+    record.announcement.group = GroupFromJson(*group);
+    if (!record.announcement.group.has_value()) {
+      return std::nullopt;
+    }
+  }
+  return record;
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/target_pool.h
@@ -0,0 +1,135 @@
+// A gateway's picture of the targets: which there are, how they do, and which
+// one takes the next request.
+//
+// Control nodes each tell of the targets that announce themselves to them; the
+// pool joins what they say. Beside what targets claim, it counts what they do:
+// failed sends make a target wait for its next request, longer each time, and
+// the first success ends that.
+//
+// Pure: events and `now` in, decisions out.
+
+#ifndef LIBS_TRAFFIC_TARGET_POOL_H_
+#define LIBS_TRAFFIC_TARGET_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libs/base/random.h"
+#include "libs/traffic/target_book.h"
+
+namespace bilberryspool::traffic {
+
+struct TargetPoolOptions {
+  FailureDomain domain;
+  // A target that failed is not chosen for this long, twice as long at each
+  // further failure in a row, while there are others.
+  Duration first_rest = Milliseconds(250);
+  Duration longest_rest = Seconds(4);
+  // A reported load counts fully for this long, then less and less until it is
+  // forgotten after `load_memory`.
+  Duration load_freshness = Milliseconds(300);
+  Duration load_memory = Seconds(2);
+  // Requests that may be at a target, as a multiple of its slots; beyond this
+  // on every target a request is refused at once.
+  double fullest = 1.5;
+  // Records of targets that left are kept for this long: a control node that
+  // was cut off may still tell of them.
+  Duration memory = Seconds(120);
+};
+
+// What a request ended with, as far as it tells of its target.
+enum class TargetOutcome {
+  kGood,      // answered, whatever the answer
+  kFull,      // refused as full
+  kFailed,    // unreachable, silent, broke off, or answered a failure
+  kReplaced,  // another target answers at the address
+};
+
+struct Choice {
+  TargetId target;
+  std::string address;
+  // What decided: requests thought to be there, and of how many slots.
+  double load = 0.0;
+  std::uint32_t slots = 0;
+};
+
+// Why no target was chosen.
+enum class NoChoice {
+  kNone,     // no target of the service is known
+  kFull,     // all of them have as much as they may
+  kResting,  // all that are left have failed lately
+};
+
+using ChoiceOutcome = std::variant<Choice, NoChoice>;
+
+class TargetPool {
+ public:
+  TargetPool(TargetPoolOptions options, std::uint64_t seed);
+
+  // What the control node `source` tells. With `is_whole` it is all that the
+  // source knows, and what it told before is forgotten: the source has started
+  // anew.
+  void Update(const std::string& source,
+              bool is_whole,
+              const std::vector<TargetRecord>& records,
+              TimePoint now);
+
+  // A target of `service` for one more request, not one of `tried`. It counts
+  // as sent there from now on: each Choice is followed by one OnEnded().
+  ChoiceOutcome Choose(const ServiceId& service,
+                       const std::set<TargetId>& tried,
+                       TimePoint now);
+  void OnEnded(const TargetId& target, TargetOutcome outcome, TimePoint now);
+  // The load that an answer of the target told.
+  void OnLoad(const TargetId& target,
+              std::uint32_t running,
+              std::uint32_t waiting,
+              TimePoint now);
+
+  struct Counts {
+    std::size_t ready = 0;
+    std::size_t leaving = 0;
+    std::size_t silent = 0;
+    std::uint64_t in_flight = 0;
+  };
+  Counts CountsOf(const ServiceId& service) const;
+  // Whether a target that was chosen may still be used.
+  bool IsUsable(const TargetId& target) const;
+
+ private:
+  struct Target {
+    TargetAnnouncement announcement;
+    // Control nodes that list the target, and whether it is silent to them.
+    std::map<std::string, bool> silent_at;
+    // Requests of this gateway.
+    std::uint32_t in_flight = 0;
+    // Requests of all others, when last reported.
+    double others = 0.0;
+    TimePoint others_at;
+    std::uint32_t failures_in_row = 0;
+    TimePoint rests_until;
+    TimePoint changed_at;
+
+    bool is_silent() const;
+  };
+
+  void Merge(const std::string& source,
+             const TargetRecord& record,
+             TimePoint now);
+  void Forget(TimePoint now);
+  double LoadOf(const Target& target, TimePoint now) const;
+  double CostOf(const Target& target, TimePoint now);
+
+  TargetPoolOptions options_;
+  Random random_;
+  std::map<TargetId, Target> targets_;
+};
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_TARGET_POOL_H_
--- /dev/null
+++ b/src/libs/traffic/traffic_configuration.cc
@@ -0,0 +1,48 @@
+#include "libs/traffic/traffic_configuration.h"
+
+#include <set>
+#include <utility>
+
+namespace bilberryspool::traffic {
+
+namespace {
+
+std::optional<std::string> FindFault(const Route& route,
+                                     const TrafficConfiguration& whole) {
+  if (route.timeout <= Duration::zero()) {
+    return "route " + route.name + " has no timeout";
+  }
+  std::uint64_t weight = 0;
+  for (const Split& split : route.splits) {
+    if (whole.services.count(split.service) == 0) {
+      return "route " + route.name + " names the unknown service " +
+             split.service.value();
+    }
+    weight += split.weight;
+  }
+  if (weight == 0) {
+    return "the weights of route " + route.name + " add up to 0";
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> FindFault(
+    const TrafficConfiguration& configuration) {
+  if (configuration.version == 0) {
+    return "the version is 0";
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : configuration.routes) {
+    if (auto fault = FindFault(route, configuration)) {
+      return fault;
+    }
+    if (!places.insert({route.host, route.path_prefix}).second) {
+      return "two routes share " + route.host + route.path_prefix;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/watch_codec.h
@@ -0,0 +1,53 @@
+// The question of a gateway to a control node, and the answer, as JSON.
+
+#ifndef LIBS_TRAFFIC_WATCH_CODEC_H_
+#define LIBS_TRAFFIC_WATCH_CODEC_H_
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/time.h"
+#include "libs/traffic/target_book.h"
+
+namespace bilberryspool::traffic {
+
+// A control node holds a question no longer than this: the gateway notices by
+// the answer that the link is alive.
+inline constexpr Duration kLongestWatch = Milliseconds(1000);
+
+// What the gateway knows.
+struct WatchQuery {
+  std::uint64_t boot = 0;      // of the control node that it knows it from
+  std::uint64_t revision = 0;  // of the targets
+  std::uint64_t version = 0;   // of the configuration
+  bool was_leader = false;
+  Duration wait{};
+};
+
+struct WatchAnswer {
+  std::uint64_t boot = 0;
+  std::uint64_t revision = 0;
+  std::uint64_t version = 0;
+  // The node leads, so that no newer configuration was accepted before.
+  bool is_leader = false;
+  // All targets that the node knows, not only what changed.
+  bool is_whole = false;
+  std::vector<TargetRecord> targets;
+  // Addresses of the control nodes.
+  std::vector<std::string> members;
+  // Only where it is newer than the gateway's.
+  std::optional<std::string> configuration;
+};
+
+boost::json::value ToJson(const WatchQuery& query);
+boost::json::value ToJson(const WatchAnswer& answer);
+// Nothing where `json` is not what ToJson makes.
+std::optional<WatchQuery> WatchQueryFromJson(const boost::json::value& json);
+std::optional<WatchAnswer> WatchAnswerFromJson(const boost::json::value& json);
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_WATCH_CODEC_H_
--- a/src/plugins/control/disk_worker.h
+++ b/src/plugins/control/disk_worker.h
@@ -36,6 +36,11 @@
 
   // Writes what was taken and ends the thread.
   void Stop() { worker_.Stop(); }
+  // Stop(), and lets go of the folder, so that it can be opened again.
+  void Close() {
+    worker_.Stop();
+    folder_.reset();
+  }
 
  private:
   void Handle(const DiskJob& job);
--- a/src/plugins/control/replica_driver.cc
+++ b/src/plugins/control/replica_driver.cc
@@ -16,8 +16,6 @@
 constexpr Duration kSendPatience = Milliseconds(500);
 constexpr Duration kLongestPause = Milliseconds(100);
 constexpr Duration kTransferPatience = Seconds(2);
-// A snapshot is taken after so many entries.
-constexpr std::uint64_t kEntriesPerSnapshot = 2000;
 
 std::string_view RoleName(consensus::Role role) {
   switch (role) {
@@ -41,16 +39,20 @@
                              std::unique_ptr<storage::DataFolder> folder,
                              consensus::ReplicaOptions options,
                              std::uint64_t seed,
-                             ReplicaHooks hooks)
+                             ReplicaHooks hooks,
+                             SnapshotPolicy snapshots)
     : loop_(loop),
       client_(client),
       hooks_(std::move(hooks)),
       log_("replica"),
       replica_(folder->recovered(), std::move(options), seed),
+      snapshots_(snapshots),
       disk_(
           std::move(folder),
           [this](consensus::PersistTicket ticket) {
             loop_.Post([this, ticket] {
+              unsynced_.erase(unsynced_.begin(),
+                              unsynced_.upper_bound(ticket));
               Handle(consensus::Persisted{ticket});
               PumpDisk();
             });
@@ -95,6 +97,11 @@
   disk_.Stop();
 }
 
+void ReplicaDriver::CloseFolder() {
+  has_failed_ = true;
+  disk_.Close();
+}
+
 void ReplicaDriver::Handle(const consensus::Event& event) {
   if (has_failed_) {
     return;
@@ -108,8 +115,14 @@
   std::visit(
       Overloaded{
           [this](const consensus::Send& send) { Send(send); },
-          [this](const consensus::Persist& persist) { Write(persist); },
-          [this](const consensus::PersistSnapshot& persist) { Write(persist); },
+          [this](const consensus::Persist& persist) {
+            unsynced_.emplace(persist.ticket, SteadyNow());
+            Write(persist);
+          },
+          [this](const consensus::PersistSnapshot& persist) {
+            unsynced_.emplace(persist.ticket, SteadyNow());
+            Write(persist);
+          },
           [this](const consensus::CompactLog& compact) { Write(compact); },
           [this](const consensus::Apply& apply) { Apply(apply); },
           [this](const consensus::RestoreSnapshot& restore) {
@@ -123,7 +136,14 @@
               found->second->signal.NotifyAll();
             }
           },
-          [](const consensus::ReadOutcome&) {},
+          [this](const consensus::ReadOutcome& outcome) {
+            const auto found = reads_.find(outcome.ticket);
+            if (found != reads_.end()) {
+              found->second->is_current =
+                  std::holds_alternative<consensus::ReadAt>(outcome.result);
+              found->second->signal.NotifyAll();
+            }
+          },
           [this](const consensus::RoleChanged& change) {
             log_.Info(
                 "Role changed.",
@@ -172,10 +192,17 @@
 void ReplicaDriver::Apply(const consensus::Apply& apply) {
   hooks_.apply(apply.entries);
   const LogIndex applied = apply.entries.back().index;
-  if (applied.value() < last_snapshot_.value() + kEntriesPerSnapshot) {
+  for (const consensus::LogEntry& entry : apply.entries) {
+    bytes_since_snapshot_ += consensus::SizeOf(entry);
+  }
+  const bool is_due =
+      applied.value() >= last_snapshot_.value() + snapshots_.entries ||
+      bytes_since_snapshot_ >= snapshots_.bytes;
+  if (!is_due) {
     return;
   }
   last_snapshot_ = applied;
+  bytes_since_snapshot_ = 0;
   // After the present event, whose further actions come first.
   loop_.Post([this, applied, data = hooks_.make_snapshot()] {
     Handle(consensus::SnapshotTaken{applied, data});
@@ -212,6 +239,29 @@
   return waiter->result;
 }
 
+bool ReplicaDriver::WaitUntilCurrent(Duration patience) {
+  const consensus::RequestTicket ticket(last_ticket_.value() + 1);
+  last_ticket_ = ticket;
+  auto waiter = std::make_shared<ReadWaiter>();
+  reads_[ticket] = waiter;
+  const TimePoint deadline = SteadyNow() + patience;
+  Handle(consensus::ReadBarrier{ticket});
+  while (!waiter->is_current.has_value() && SteadyNow() < deadline) {
+    waiter->signal.WaitUntil(deadline);
+  }
+  reads_.erase(ticket);
+  return waiter->is_current.value_or(false);
+}
+
+void ReplicaDriver::HandOver() {
+  Handle(consensus::TransferLeadership{});
+}
+
+Duration ReplicaDriver::disk_lag(TimePoint now) const {
+  return unsynced_.empty() ? Duration::zero()
+                           : now - unsynced_.begin()->second;
+}
+
 bool ReplicaDriver::is_leader(TimePoint now) const {
   return !has_failed_ && replica_.is_leader_with_lease(now);
 }
--- a/src/plugins/control/replica_driver.h
+++ b/src/plugins/control/replica_driver.h
@@ -35,6 +35,12 @@
   std::function<std::optional<net::Endpoint>(const NodeId&)> find_peer;
 };
 
+// When the application's state is written anew, so that the log stays short.
+struct SnapshotPolicy {
+  std::uint64_t entries = 2000;
+  std::uint64_t bytes = 16ULL * 1024 * 1024;
+};
+
 // Runs in the control loop; its disk thread is its own.
 class ReplicaDriver {
  public:
@@ -43,10 +49,16 @@
                 std::unique_ptr<storage::DataFolder> folder,
                 consensus::ReplicaOptions options,
                 std::uint64_t seed,
-                ReplicaHooks hooks);
+                ReplicaHooks hooks,
+                SnapshotPolicy snapshots = {});
 
   void Register(links::LinkServer& server);
   void Start();
+  // After a failure: ends the disk thread and lets go of the folder. This
+  // driver does nothing more, but must outlive its fibers.
+  void CloseFolder();
+  // One message of a peer; nothing where it can't be read.
+  std::optional<boost::json::value> OnMessage(const boost::json::value& params);
   // Hands leadership over and waits a moment for it; writes what is open.
   void Stop();
 
@@ -57,16 +69,28 @@
   std::optional<Result> Change(const consensus::MembershipChange& change,
                                Duration patience);
 
+  // True once everything that was accepted before the call is applied here;
+  // false where this replica does not lead, or `patience` ran out.
+  bool WaitUntilCurrent(Duration patience);
+  // Asks the leader, where this is it, to hand over.
+  void HandOver();
+
   const consensus::Replica& replica() const { return replica_; }
   bool is_leader(TimePoint now) const;
   // The disk failed: this replica takes no further part until a restart.
   bool has_failed() const { return has_failed_; }
+  // How long the oldest write has waited for the disk; zero where none does.
+  Duration disk_lag(TimePoint now) const;
 
  private:
   struct Waiter {
     net::FiberSignal signal;
     std::optional<Result> result;
   };
+  struct ReadWaiter {
+    net::FiberSignal signal;
+    std::optional<bool> is_current;
+  };
   using Json = boost::json::value;
 
   void Run();
@@ -79,7 +103,6 @@
   std::optional<Result> Wait(consensus::RequestTicket ticket,
                              const consensus::Event& event,
                              Duration patience);
-  std::optional<Json> OnMessage(const Json& params);
 
   net::NetworkLoop& loop_;
   links::LinkClient& client_;
@@ -91,7 +114,12 @@
   std::deque<DiskJob> backlog_;
   consensus::RequestTicket last_ticket_;
   std::map<consensus::RequestTicket, std::shared_ptr<Waiter>> waiters_;
+  std::map<consensus::RequestTicket, std::shared_ptr<ReadWaiter>> reads_;
+  SnapshotPolicy snapshots_;
   LogIndex last_snapshot_;
+  std::uint64_t bytes_since_snapshot_ = 0;
+  // Writes that are not synced yet, with when they were asked for.
+  std::map<consensus::PersistTicket, TimePoint> unsynced_;
   DiskWorker disk_;
 };
 
--- /dev/null
+++ b/src/plugins/control_node/control_node.cc
@@ -0,0 +1,308 @@
+#include "plugins/control_node/control_node.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <random>
+
+#include "libs/base/overloaded.h"
+#include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
+#include "libs/traffic/target_codec.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+namespace {
+
+// Operators ask another node after a second without an answer.
+constexpr Duration kSubmitPatience = Milliseconds(2500);
+constexpr Duration kReadPatience = Milliseconds(800);
+constexpr Duration kSpreadPatience = Milliseconds(500);
+// Where no leader is known yet, a call waits so long for one.
+constexpr Duration kLeaderPatience = Milliseconds(700);
+constexpr Duration kLeaderPoll = Milliseconds(50);
+constexpr Duration kTickInterval = Milliseconds(250);
+// Announcements that may be missed in a row before a target counts as silent.
+constexpr int kMissedAnnouncements = 3;
+
+traffic::TargetBookOptions MakeBookOptions(
+    const settings::ControlSettings& settings) {
+  traffic::TargetBookOptions options;
+  options.silence = settings.announcement_interval * kMissedAnnouncements;
+  return options;
+}
+
+std::string_view StandingName(traffic::Standing standing) {
+  switch (standing) {
+    case traffic::Standing::kReady:
+      return "ready";
+    case traffic::Standing::kLeaving:
+      return "leaving";
+    case traffic::Standing::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ControlNode::ControlNode(
+    net::NetworkLoop& loop,
+    const settings::CommonSettings& common,
+    const settings::ControlSettings& settings,
+    std::shared_ptr<const net::LinkAuthenticator> authenticator,
+    traffic::ConfigurationReader read_configuration)
+    : loop_(loop),
+      client_(loop, std::move(authenticator)),
+      read_configuration_(std::move(read_configuration)),
+      log_("control"),
+      targets_(MakeBookOptions(settings)),
+      boot_(std::random_device()()),
+      replica_(loop, client_, common, settings, MakeHooks()) {}
+
+ReplicaHost::Hooks ControlNode::MakeHooks() {
+  ReplicaHost::Hooks hooks;
+  hooks.apply = [this](const std::string& command) {
+    if (configuration_.Apply(command)) {
+      log_.Info("Configuration in force.",
+                {{"version", configuration_.version()}});
+      changed_.NotifyAll();
+    }
+  };
+  hooks.restore = [this](const std::string& state) {
+    if (!configuration_.Import(state)) {
+      log_.Error("A snapshot can't be read.", {{"bytes", state.size()}});
+    }
+    changed_.NotifyAll();
+  };
+  hooks.make_snapshot = [this] { return configuration_.Export(); };
+  return hooks;
+}
+
+void ControlNode::Register(links::LinkServer& server) {
+  replica_.Register(server);
+  server.Register("control.submit",
+                  [this](const Json& params) { return OnSubmit(params); });
+  server.Register("control.read", [this](const Json&) { return OnRead(); });
+  server.Register("control.target",
+                  [this](const Json& params) { return OnTarget(params); });
+}
+
+std::string ControlNode::Start() {
+  std::string error = replica_.Start();
+  if (error.empty()) {
+    loop_.Spawn([this] { Tick(); });
+  }
+  return error;
+}
+
+void ControlNode::Stop() {
+  replica_.Stop();
+}
+
+void ControlNode::Tick() {
+  while (true) {
+    loop_.SleepFor(kTickInterval);
+    if (targets_.Tick(SteadyNow())) {
+      log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
+      changed_.NotifyAll();
+    }
+  }
+}
+
+SubmitOutcome ControlNode::Submit(const std::string& text) {
+  const auto read = read_configuration_(text);
+  if (const auto* why = std::get_if<std::string>(&read)) {
+    log_.Warn("Refused a configuration.", {{"reason", *why}});
+    return ConfigurationInvalid{*why};
+  }
+  const auto& proposed = std::get<traffic::TrafficConfiguration>(read);
+  if (const auto fault = traffic::FindFault(proposed)) {
+    log_.Warn("Refused a configuration.",
+              {{"version", proposed.version}, {"reason", *fault}});
+    return ConfigurationInvalid{*fault};
+  }
+  SubmitOutcome outcome = ConfigurationUnclear{"no leader is known"};
+  const TimePoint limit = SteadyNow() + kLeaderPatience;
+  while (true) {
+    if (replica_.is_leader()) {
+      outcome = SubmitHere(proposed.version, text);
+      break;
+    }
+    if (const auto leader = replica_.FindLeader()) {
+      outcome = SubmitAt(*leader, proposed.version, text);
+      if (!std::holds_alternative<ConfigurationUnclear>(outcome)) {
+        break;
+      }
+    }
+    if (SteadyNow() >= limit) {
+      break;
+    }
+    loop_.SleepFor(kLeaderPoll);
+  }
+  const auto* unclear = std::get_if<ConfigurationUnclear>(&outcome);
+  log_.Info("Handled a configuration.",
+            {{"version", proposed.version},
+             {"outcome", unclear == nullptr ? "accepted" : unclear->why},
+             {"in_force", configuration_.version()}});
+  return outcome;
+}
+
+SubmitOutcome ControlNode::SubmitHere(std::uint64_t version,
+                                      const std::string& text) {
+  control::ReplicaDriver* driver = replica_.driver();
+  if (driver == nullptr) {
+    return ConfigurationUnclear{"the data folder is being opened"};
+  }
+  // Applied here means committed, which no later leader takes back.
+  if (version <= configuration_.version()) {
+    return ConfigurationAccepted{version};
+  }
+  const auto result = driver->Propose(
+      config::NumberedConfiguration::Propose(version, text), kSubmitPatience);
+  if (!result.has_value()) {
+    return ConfigurationUnclear{"no majority answered in time"};
+  }
+  if (std::holds_alternative<consensus::Accepted>(*result)) {
+    return ConfigurationAccepted{version};
+  }
+  return ConfigurationUnclear{"this node does not lead any more"};
+}
+
+SubmitOutcome ControlNode::SubmitAt(const net::Endpoint& leader,
+                                    std::uint64_t version,
+                                    const std::string& text) {
+  const auto result =
+      client_.Call(leader, "control.submit",
+                   {{"version", version}, {"text", text}}, kSubmitPatience);
+  const auto* value = std::get_if<Json>(&result);
+  if (value == nullptr) {
+    client_.DropIdle(leader);
+    return ConfigurationUnclear{"the leader does not answer"};
+  }
+  if (value->is_bool() && value->as_bool()) {
+    return ConfigurationAccepted{version};
+  }
+  return ConfigurationUnclear{"the leader did not accept it in time"};
+}
+
+std::optional<ControlNode::Json> ControlNode::OnSubmit(const Json& params) {
+  const auto* object = params.if_object();
+  if (object == nullptr || !object->contains("version") ||
+      !object->contains("text") || !object->at("text").is_string()) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto version = object->at("version").to_number<std::uint64_t>(error);
+  if (error) {
+    return std::nullopt;
+  }
+  if (!replica_.is_leader()) {
+    return Json(false);
+  }
+  const SubmitOutcome outcome =
+      SubmitHere(version, std::string(object->at("text").as_string()));
+  return Json(std::holds_alternative<ConfigurationAccepted>(outcome));
+}
+
+std::optional<std::string> ControlNode::ReadHere() {
+  control::ReplicaDriver* driver = replica_.driver();
+  if (driver == nullptr || !driver->WaitUntilCurrent(kReadPatience) ||
+      configuration_.version() == 0) {
+    return std::nullopt;
+  }
+  return configuration_.text();
+}
+
+std::optional<std::string> ControlNode::Read() {
+  if (replica_.is_leader()) {
+    return ReadHere();
+  }
+  const auto leader = replica_.FindLeader();
+  if (!leader.has_value()) {
+    return std::nullopt;
+  }
+  const auto result =
+      client_.Call(*leader, "control.read", boost::json::object{},
+                   kReadPatience);
+  const auto* value = std::get_if<Json>(&result);
+  if (value == nullptr) {
+    client_.DropIdle(*leader);
+    return std::nullopt;
+  }
+  if (!value->is_string()) {
+    return std::nullopt;
+  }
+  return std::string(value->as_string());
+}
+
+std::optional<ControlNode::Json> ControlNode::OnRead() {
+  if (!replica_.is_leader()) {
+    return Json(nullptr);
+  }
+  const auto text = ReadHere();
+  return text.has_value() ? Json(*text) : Json(nullptr);
+}
+
+void ControlNode::Announce(const traffic::TargetAnnouncement& announcement) {
+  if (!targets_.Announce(announcement, SteadyNow())) {
+    return;
+  }
+  log_.Info("Target changed.",
+            {{"target", announcement.target.value()},
+             {"service", announcement.service.value()},
+             {"address", announcement.address},
+             {"standing", StandingName(announcement.standing)},
+             {"sequence", announcement.sequence}});
+  changed_.NotifyAll();
+  if (announcement.standing != traffic::Standing::kReady) {
+    Spread(targets_.records().at(announcement.target));
+  }
+}
+
+void ControlNode::Withdraw(const TargetId& target) {
+  if (!targets_.Withdraw(target, SteadyNow())) {
+    return;
+  }
+  log_.Info("Target left.", {{"target", target.value()}});
+  changed_.NotifyAll();
+  Spread(targets_.records().at(target));
+}
+
+// A target that was told that its leaving is known must get no new work, also
+// where this node dies the moment after. So the others are told beside the
+// gateways; they need not answer, since a cut would hold up the target.
+void ControlNode::Spread(const traffic::TargetRecord& record) {
+  const Json params = traffic::ToJson(record);
+  for (const net::Endpoint& peer : replica_.FindMembers()) {
+    if (peer.ToString() == replica_.self().value()) {
+      continue;
+    }
+    loop_.Spawn([this, peer, params] {
+      const auto result =
+          client_.Call(peer, "control.target", params, kSpreadPatience);
+      if (std::holds_alternative<links::LinkError>(result)) {
+        client_.DropIdle(peer);
+      }
+    });
+  }
+}
+
+std::optional<ControlNode::Json> ControlNode::OnTarget(const Json& params) {
+  const auto record = traffic::TargetRecordFromJson(params);
+  if (!record.has_value()) {
+    return std::nullopt;
+  }
+  const traffic::TargetAnnouncement& told = record->announcement;
+  const bool is_news = told.standing == traffic::Standing::kGone
+                           ? targets_.Withdraw(told.target, SteadyNow())
+                           : targets_.Announce(told, SteadyNow());
+  if (is_news) {
+    changed_.NotifyAll();
+  }
+  return Json(true);
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/control_node/control_node.h
@@ -0,0 +1,104 @@
+// What a control node does for operators and targets, whatever protocol they
+// speak.
+
+#ifndef PLUGINS_CONTROL_NODE_CONTROL_NODE_H_
+#define PLUGINS_CONTROL_NODE_CONTROL_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "libs/config/numbered_configuration.h"
+#include "libs/links/link_client.h"
+#include "libs/links/link_server.h"
+#include "libs/net/fiber_signal.h"
+#include "libs/settings/settings.h"
+#include "libs/telemetry/log.h"
+#include "libs/traffic/target_book.h"
+#include "libs/traffic/wire_dialect.h"
+#include "plugins/control_node/replica_host.h"
+
+namespace bilberryspool::control_node {
+
+// It is accepted: in force, or overtaken by a higher number.
+struct ConfigurationAccepted {
+  std::uint64_t version = 0;
+};
+struct ConfigurationInvalid {
+  std::string why;
+};
+// Not known to be accepted: no leader, or no answer in time. The same may be
+// sent again.
+struct ConfigurationUnclear {
+  std::string why;
+};
+using SubmitOutcome = std::
+    variant<ConfigurationAccepted, ConfigurationInvalid, ConfigurationUnclear>;
+
+// Runs in the control loop; calls may suspend the fiber.
+class ControlNode {
+ public:
+  ControlNode(net::NetworkLoop& loop,
+              const settings::CommonSettings& common,
+              const settings::ControlSettings& settings,
+              std::shared_ptr<const net::LinkAuthenticator> authenticator,
+              traffic::ConfigurationReader read_configuration);
+
+  void Register(links::LinkServer& server);
+  // Empty, or why it can't start.
+  std::string Start();
+  void Stop();
+
+  SubmitOutcome Submit(const std::string& text);
+  // The newest accepted configuration, where this node can be sure which one
+  // that is.
+  std::optional<std::string> Read();
+
+  // Both return once the gateways are being told.
+  void Announce(const traffic::TargetAnnouncement& announcement);
+  void Withdraw(const TargetId& target);
+
+  const config::NumberedConfiguration& configuration() const {
+    return configuration_;
+  }
+  const traffic::TargetBook& targets() const { return targets_; }
+  ReplicaHost& replica() { return replica_; }
+  const ReplicaHost& replica() const { return replica_; }
+  // Wakes when the configuration or a target changes.
+  net::FiberSignal& changed() { return changed_; }
+  // Drawn at the start of this process: tells a restarted node's revisions
+  // from those before.
+  std::uint64_t boot() const { return boot_; }
+
+ private:
+  using Json = boost::json::value;
+
+  ReplicaHost::Hooks MakeHooks();
+  SubmitOutcome SubmitHere(std::uint64_t version, const std::string& text);
+  SubmitOutcome SubmitAt(const net::Endpoint& leader,
+                         std::uint64_t version,
+                         const std::string& text);
+  std::optional<std::string> ReadHere();
+  std::optional<Json> OnSubmit(const Json& params);
+  std::optional<Json> OnRead();
+  std::optional<Json> OnTarget(const Json& params);
+  // Tells the other control nodes that a target leaves.
+  void Spread(const traffic::TargetRecord& record);
+  void Tick();
+
+  net::NetworkLoop& loop_;
+  links::LinkClient client_;
+  traffic::ConfigurationReader read_configuration_;
+  telemetry::Logger log_;
+  config::NumberedConfiguration configuration_;
+  traffic::TargetBook targets_;
+  net::FiberSignal changed_;
+  std::uint64_t boot_;
+  ReplicaHost replica_;
+};
+
+}  // namespace bilberryspool::control_node
+
+#endif  // PLUGINS_CONTROL_NODE_CONTROL_NODE_H_
--- /dev/null
+++ b/src/plugins/control_node/control_node_process.cc
@@ -0,0 +1,173 @@
+#include "plugins/control_node/control_node_process.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+#include "libs/net/network_loop.h"
+#include "libs/telemetry/metrics.h"
+#include "plugins/control_node/control_node.h"
+#include "plugins/control_node/watch_service.h"
+
+namespace bilberryspool::control_node {
+
+namespace {
+
+// Room for a configuration in a message of the replicated log, whose quoting
+// may double it.
+constexpr std::size_t kMaxPeerBodyBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kMaxOperatorBodyBytes = 8UL * 1024 * 1024;
+
+net::Endpoint ToEndpoint(const settings::SocketAddress& address) {
+  return {address.ip, address.port};
+}
+
+class Process {
+ public:
+  Process(const settings::CommonSettings& common,
+          const settings::ControlSettings& settings,
+          const ControlInterface& interface,
+          std::shared_ptr<const net::LinkAuthenticator> authenticator)
+      : settings_(settings),
+        log_("control"),
+        node_(loop_,
+              common,
+              settings,
+              authenticator,
+              interface.read_configuration),
+        watch_(node_),
+        peers_(
+            loop_,
+            PeerOptions(settings),
+            authenticator,
+            [](net::HttpExchange& exchange) { NotFound(exchange); },
+            [this](const std::string& peer, net::LinkRefusal refusal) {
+              log_.Warn("Refused a peer.",
+                        {{"peer", peer}, {"reason", net::Describe(refusal)}});
+            }),
+        operators_(loop_,
+                   OperatorOptions(settings),
+                   interface.make_handler(node_)),
+        metrics_server_(
+            loop_,
+            MetricsOptions(settings),
+            [this](net::HttpExchange& exchange) { ServeMetrics(exchange); }) {}
+
+  void Run() {
+    loop_.Run([this] {
+      const std::string error = Start();
+      if (!error.empty()) {
+        std::cerr << "control: " << error << "\n";
+        std::_Exit(1);
+      }
+      loop_.OnStopSignal([this] { loop_.Stop(); });
+      loop_.OnReloadSignal([this] {
+        log_.Info("Settings may have changed; they count at the next start.");
+      });
+      loop_.WaitForStop();
+      log_.Info("Stopping.");
+      operators_.Drain();
+      node_.Stop();
+      std::_Exit(0);
+    });
+  }
+
+ private:
+  static net::HttpServerOptions PeerOptions(
+      const settings::ControlSettings& settings) {
+    net::HttpServerOptions options;
+    options.listen = ToEndpoint(settings.peers_listen);
+    options.max_body_bytes = kMaxPeerBodyBytes;
+    return options;
+  }
+
+  static net::HttpServerOptions OperatorOptions(
+      const settings::ControlSettings& settings) {
+    net::HttpServerOptions options;
+    options.listen = ToEndpoint(settings.operators_listen);
+    options.max_body_bytes = kMaxOperatorBodyBytes;
+    return options;
+  }
+
+  static net::HttpServerOptions MetricsOptions(
+      const settings::ControlSettings& settings) {
+    net::HttpServerOptions options;
+    options.listen = ToEndpoint(settings.metrics_listen);
+    return options;
+  }
+
+  static void NotFound(net::HttpExchange& exchange) {
+    net::HttpResponseHead head;
+    head.status = 404;
+    exchange.Respond(std::move(head), "no such call\n");
+  }
+
+  std::string Start() {
+    node_.Register(peers_);
+    watch_.Register(peers_);
+    std::string error = node_.Start();
+    if (error.empty()) {
+      error = peers_.Start();
+    }
+    if (error.empty()) {
+      error = operators_.Start();
+    }
+    if (error.empty()) {
+      error = metrics_server_.Start();
+    }
+    if (error.empty()) {
+      log_.Info("Started.",
+                {{"operators", settings_.operators_listen.ToString()},
+                 {"peers", settings_.peers_listen.ToString()},
+                 {"first_start", settings_.is_first_start ? "yes" : "no"}});
+    }
+    return error;
+  }
+
+  void ServeMetrics(net::HttpExchange& exchange) {
+    metrics_
+        .GaugeFor({"bilberryspool_configuration_version",
+                   "Number of the configuration in force"})
+        .Set(static_cast<double>(node_.configuration().version()));
+    metrics_
+        .GaugeFor({"bilberryspool_targets_known", "Targets on record"})
+        .Set(static_cast<double>(node_.targets().records().size()));
+    metrics_
+        .GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
+        .Set(node_.replica().is_leader() ? 1.0 : 0.0);
+    net::HttpResponseHead head;
+    head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    exchange.Respond(std::move(head), metrics_.ToPrometheusText());
+  }
+
+  const settings::ControlSettings& settings_;
+  telemetry::Logger log_;
+  telemetry::Registry metrics_;
+  net::NetworkLoop loop_;
+  ControlNode node_;
+  WatchService watch_;
+  links::LinkServer peers_;
+  net::HttpServer operators_;
+  net::HttpServer metrics_server_;
+};
+
+}  // namespace
+
+int RunControlNode(const settings::CommonSettings& common,
+                   const settings::ControlSettings& settings,
+                   const ControlInterface& interface) {
+  const auto key = net::ReadKeyFile(common.key_file);
+  if (!key.has_value()) {
+    std::cerr << "control: can't read a key of at least "
+              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
+              << common.key_file << "\n";
+    return 1;
+  }
+  Process process(common, settings, interface,
+                  std::make_shared<const net::LinkAuthenticator>(
+                      common.deployment, common.node, *key));
+  process.Run();
+  return 0;
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/control_node/control_node_process.h
@@ -0,0 +1,30 @@
+// A control node: a replica of the control state that serves operators,
+// targets and gateways, and no callers.
+
+#ifndef PLUGINS_CONTROL_NODE_CONTROL_NODE_PROCESS_H_
+#define PLUGINS_CONTROL_NODE_CONTROL_NODE_PROCESS_H_
+
+#include <functional>
+
+#include "libs/net/http_server.h"
+#include "libs/settings/settings.h"
+#include "libs/traffic/wire_dialect.h"
+
+namespace bilberryspool::control_node {
+
+class ControlNode;
+
+// What operators and targets speak; decided where the program is put together.
+struct ControlInterface {
+  traffic::ConfigurationReader read_configuration;
+  std::function<net::HttpHandler(ControlNode&)> make_handler;
+};
+
+// Runs until a stop signal. Returns the exit status: 1 where it can't start.
+int RunControlNode(const settings::CommonSettings& common,
+                   const settings::ControlSettings& settings,
+                   const ControlInterface& interface);
+
+}  // namespace bilberryspool::control_node
+
+#endif  // PLUGINS_CONTROL_NODE_CONTROL_NODE_PROCESS_H_
--- /dev/null
+++ b/src/plugins/control_node/replica_host.cc
@@ -0,0 +1,251 @@
+#include "plugins/control_node/replica_host.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+
+#include "libs/base/overloaded.h"
+#include "libs/consensus/message_codec.h"
+#include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+namespace {
+
+// How often membership, disk and failed folders are looked after.
+constexpr Duration kTendInterval = Milliseconds(200);
+constexpr Duration kChangePatience = Seconds(2);
+// A leader whose disk has not answered for this long hands over: it can't
+// vouch for what it proposes, and every change would wait for its disk.
+constexpr Duration kStalledDisk = Milliseconds(700);
+// The log is kept short: each entry holds a whole configuration, which may be
+// hundreds of kilobytes.
+constexpr control::SnapshotPolicy kSnapshots{32, 2ULL * 1024 * 1024};
+constexpr std::size_t kRetainedEntries = 4;
+constexpr Duration kElectionTimeoutMin = Milliseconds(700);
+constexpr Duration kElectionTimeoutMax = Milliseconds(1200);
+constexpr Duration kHelloInterval = Milliseconds(200);
+
+NodeId NameOf(const settings::SocketAddress& address) {
+  return NodeId(address.ToString());
+}
+
+}  // namespace
+
+ReplicaHost::ReplicaHost(net::NetworkLoop& loop,
+                         links::LinkClient& client,
+                         const settings::CommonSettings& common,
+                         const settings::ControlSettings& settings,
+                         Hooks hooks)
+    : loop_(loop),
+      client_(client),
+      common_(common),
+      settings_(settings),
+      hooks_(std::move(hooks)),
+      log_("replica"),
+      self_(NameOf(settings.peers_listen)) {}
+
+void ReplicaHost::Register(links::LinkServer& server) {
+  // The driver may be replaced, so the call is looked up each time.
+  server.Register("consensus.message",
+                  [this](const boost::json::value& params)
+                      -> std::optional<boost::json::value> {
+                    if (driver_ == nullptr) {
+                      return std::nullopt;
+                    }
+                    return driver_->OnMessage(params);
+                  });
+}
+
+std::string ReplicaHost::Start() {
+  std::string error = Open();
+  if (error.empty()) {
+    loop_.Spawn([this] { Tend(); });
+  }
+  return error;
+}
+
+consensus::ReplicaOptions ReplicaHost::MakeOptions() const {
+  consensus::ReplicaOptions options;
+  options.election_timeout_min = kElectionTimeoutMin;
+  options.election_timeout_max = kElectionTimeoutMax;
+  options.hello_interval = kHelloInterval;
+  options.retained_entries = kRetainedEntries;
+  for (const settings::SocketAddress& seed : settings_.seeds) {
+    const NodeId peer = NameOf({seed.ip, settings_.peers_listen.port});
+    options.known_peers.push_back(peer);
+    if (settings_.is_first_start) {
+      options.initial_voters.push_back(peer);
+    }
+  }
+  return options;
+}
+
+std::string ReplicaHost::Open() {
+  storage::DataFolderOptions options;
+  options.path = settings_.data_folder;
+  options.deployment = common_.deployment;
+  options.node = self_;
+  std::random_device random;
+  constexpr unsigned kHalfBits = 31U;
+  options.new_identity = consensus::ReplicaIdentity(
+      (static_cast<std::uint64_t>(random()) << kHalfBits) | random() | 1U);
+  std::string error;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(folder, storage::DataFolder::Open(files_, options));
+        const auto& found = folder->recovered();
+        log_.Info("Opened the data folder.",
+                  {{"identity", found.self.identity.value()},
+                   {"term", found.hard_state.term.value()},
+                   {"entries", found.entries.size()}});
+        driver_ = std::make_unique<control::ReplicaDriver>(
+            loop_, client_, std::move(folder), MakeOptions(),
+            std::random_device()(), MakeHooks(), kSnapshots);
+        return {};
+      },
+      [&](const storage::StorageError& failure) {
+        error = "data folder: " + control::Describe(failure);
+      },
+      [&] { error = "data folder: unknown error"; });
+  if (error.empty()) {
+    driver_->Start();
+  }
+  return error;
+}
+
+control::ReplicaHooks ReplicaHost::MakeHooks() {
+  control::ReplicaHooks hooks;
+  hooks.apply = [this](const std::vector<consensus::LogEntry>& entries) {
+    for (const consensus::LogEntry& entry : entries) {
+      const auto* command = std::get_if<consensus::Command>(&entry.payload);
+      if (command != nullptr) {
+        hooks_.apply(command->bytes);
+      }
+    }
+  };
+  hooks.restore = [this](const consensus::Snapshot& snapshot) {
+    hooks_.restore(snapshot.data);
+  };
+  hooks.make_snapshot = [this] { return hooks_.make_snapshot(); };
+  hooks.role_changed = [](const consensus::RoleChanged&) {};
+  hooks.find_peer = [](const NodeId& node) {
+    return net::ParseEndpoint(node.value());
+  };
+  return hooks;
+}
+
+void ReplicaHost::Tend() {
+  while (!is_stopping_) {
+    loop_.SleepFor(kTendInterval);
+    if (is_stopping_) {
+      return;
+    }
+    if (driver_ == nullptr || driver_->has_failed()) {
+      // A full disk may have room again, so the folder is read anew: what it
+      // promised is in it, and nothing was promised since.
+      if (driver_ != nullptr) {
+        driver_->CloseFolder();
+        failed_.push_back(std::move(driver_));
+      }
+      const std::string error = Open();
+      if (!error.empty()) {
+        log_.Warn("Can't open the data folder again.", {{"error", error}});
+      }
+      continue;
+    }
+    LeaveStalledDisk();
+    KeepMembers();
+  }
+}
+
+void ReplicaHost::LeaveStalledDisk() {
+  const TimePoint now = SteadyNow();
+  if (driver_->is_leader(now) && driver_->disk_lag(now) > kStalledDisk) {
+    log_.Warn("Handing over: the disk does not answer.",
+              {{"waited_ms", driver_->disk_lag(now).count() / 1000}});
+    driver_->HandOver();
+  }
+}
+
+void ReplicaHost::KeepMembers() {
+  const TimePoint now = SteadyNow();
+  if (is_changing_ || !driver_->is_leader(now)) {
+    return;
+  }
+  const auto picture = consensus::PictureOf(driver_->replica(), now);
+  if (!picture.has_value()) {
+    return;
+  }
+  consensus::MemberKeeperOptions options;
+  options.voters = 2 * settings_.tolerated_losses + 1;
+  const auto change = consensus::NextChange(*picture, options);
+  if (!change.has_value()) {
+    return;
+  }
+  std::visit(
+      Overloaded{[this](const consensus::ReplaceVoter& replace) {
+                   log_.Info("Replacing a voter.",
+                             {{"old", replace.old.node.value()},
+                              {"new", replace.replacement.node.value()}});
+                 },
+                 [this](const consensus::AddLearner& add) {
+                   log_.Info("Adding a learner.",
+                             {{"member", add.learner.node.value()}});
+                 },
+                 [this](const consensus::PromoteLearner& promote) {
+                   log_.Info("Promoting a learner.",
+                             {{"member", promote.learner.node.value()}});
+                 },
+                 [this](const consensus::RemoveMember& remove) {
+                   log_.Info("Removing a member.",
+                             {{"member", remove.member.node.value()}});
+                 }},
+      *change);
+  is_changing_ = true;
+  loop_.Spawn([this, change = *change] {
+    driver_->Change(change, kChangePatience);
+    is_changing_ = false;
+  });
+}
+
+void ReplicaHost::Stop() {
+  is_stopping_ = true;
+  if (driver_ != nullptr) {
+    driver_->Stop();
+  }
+}
+
+bool ReplicaHost::is_leader() const {
+  return driver_ != nullptr && driver_->is_leader(SteadyNow());
+}
+
+std::optional<net::Endpoint> ReplicaHost::FindLeader() const {
+  if (driver_ == nullptr || !driver_->replica().leader().has_value() ||
+      driver_->replica().leader()->node == self_) {
+    return std::nullopt;
+  }
+  return net::ParseEndpoint(driver_->replica().leader()->node.value());
+}
+
+std::vector<net::Endpoint> ReplicaHost::FindMembers() const {
+  std::vector<net::Endpoint> members;
+  if (driver_ != nullptr && !driver_->replica().is_blank()) {
+    for (const auto& id :
+         driver_->replica().log().membership().AllMembers()) {
+      if (const auto endpoint = net::ParseEndpoint(id.node.value())) {
+        members.push_back(*endpoint);
+      }
+    }
+  }
+  if (members.empty()) {
+    for (const settings::SocketAddress& seed : settings_.seeds) {
+      members.push_back({seed.ip, settings_.peers_listen.port});
+    }
+  }
+  return members;
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/control_node/watch_service.cc
@@ -0,0 +1,53 @@
+#include "plugins/control_node/watch_service.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "libs/net/steady_time.h"
+#include "libs/traffic/target_codec.h"
+#include "libs/traffic/watch_codec.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+void WatchService::Register(links::LinkServer& server) {
+  server.Register("control.watch",
+                  [this](const Json& params) { return OnWatch(params); });
+}
+
+std::optional<boost::json::value> WatchService::OnWatch(const Json& params) {
+  const auto query = traffic::WatchQueryFromJson(params);
+  if (!query.has_value()) {
+    return std::nullopt;
+  }
+  const bool knows_this_boot = query->boot == node_.boot();
+  const std::uint64_t revision = knows_this_boot ? query->revision : 0;
+  const auto has_news = [&] {
+    return !knows_this_boot || node_.targets().revision() > revision ||
+           node_.configuration().version() > query->version ||
+           query->was_leader != node_.replica().is_leader();
+  };
+  const TimePoint deadline =
+      SteadyNow() + std::min(query->wait, traffic::kLongestWatch);
+  while (!has_news() && SteadyNow() < deadline) {
+    node_.changed().WaitUntil(deadline);
+  }
+  traffic::WatchAnswer answer;
+  answer.boot = node_.boot();
+  answer.revision = node_.targets().revision();
+  answer.is_leader = node_.replica().is_leader();
+  answer.is_whole = !knows_this_boot;
+  answer.targets = node_.targets().ChangedSince(revision);
+  for (const net::Endpoint& member : node_.replica().FindMembers()) {
+    answer.members.push_back(member.ToString());
+  }
+  answer.version = node_.configuration().version();
+  if (answer.version > query->version) {
+    answer.configuration = node_.configuration().text();
+  }
+  return traffic::ToJson(answer);
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/gateway/control_follower.cc
@@ -0,0 +1,152 @@
+#include "plugins/gateway/control_follower.h"
+
+#include <utility>
+
+#include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+
+namespace {
+
+// An answer that takes longer than the node may hold it is lost: the node is
+// dead, cut off, or the connection has gone silent.
+constexpr Duration kWatchPatience = traffic::kLongestWatch + Milliseconds(600);
+constexpr Duration kPauseAfterFailure = Milliseconds(150);
+// Without a word from the leader the newest configuration heard of counts
+// after this time, so that a failure domain that is cut off goes on serving.
+constexpr Duration kLeaderPatience = Seconds(3);
+// A node that no other lists any more and that does not answer is let go.
+constexpr Duration kNodeMemory = Seconds(20);
+
+}  // namespace
+
+ControlFollower::ControlFollower(
+    net::NetworkLoop& loop,
+    std::shared_ptr<const net::LinkAuthenticator> authenticator,
+    GatewayState& state,
+    traffic::ConfigurationReader read_configuration)
+    : loop_(loop),
+      client_(loop, std::move(authenticator)),
+      state_(state),
+      read_configuration_(std::move(read_configuration)),
+      log_("follower"),
+      started_at_(SteadyNow()) {}
+
+void ControlFollower::Follow(const std::vector<net::Endpoint>& nodes) {
+  for (const net::Endpoint& endpoint : nodes) {
+    if (!followed_.insert(endpoint).second) {
+      continue;
+    }
+    log_.Info("Following a control node.", {{"node", endpoint.ToString()}});
+    auto node = std::make_shared<Node>();
+    node->endpoint = endpoint;
+    node->heard_at = SteadyNow();
+    loop_.Spawn([this, node] { Run(node); });
+  }
+}
+
+bool ControlFollower::is_current(TimePoint now) const {
+  return state_.routes != nullptr &&
+         (has_heard_leader_ || now - started_at_ > kLeaderPatience);
+}
+
+void ControlFollower::Run(const std::shared_ptr<Node>& node) {
+  while (true) {
+    const bool is_reachable = Ask(*node);
+    if (is_reachable != node->is_reachable) {
+      node->is_reachable = is_reachable;
+      log_.Info(is_reachable ? "Control node regained." : "Control node lost.",
+                {{"node", node->endpoint.ToString()}});
+    }
+    if (is_reachable) {
+      reachable_.insert(node->endpoint);
+      continue;
+    }
+    reachable_.erase(node->endpoint);
+    const bool is_forgotten = SteadyNow() - node->heard_at > kNodeMemory &&
+                              members_.count(node->endpoint) == 0 &&
+                              !reachable_.empty();
+    if (is_forgotten) {
+      log_.Info("Following a control node no more.",
+                {{"node", node->endpoint.ToString()}});
+      followed_.erase(node->endpoint);
+      return;
+    }
+    loop_.SleepFor(kPauseAfterFailure);
+  }
+}
+
+bool ControlFollower::Ask(Node& node) {
+  traffic::WatchQuery query;
+  query.boot = node.boot;
+  query.revision = node.revision;
+  query.version =
+      state_.routes == nullptr ? 0 : state_.routes->configuration().version;
+  query.was_leader = node.is_leader;
+  query.wait = traffic::kLongestWatch;
+  const auto result = client_.Call(node.endpoint, "control.watch",
+                                   traffic::ToJson(query), kWatchPatience);
+  const auto* json = std::get_if<boost::json::value>(&result);
+  if (json == nullptr) {
+    client_.DropIdle(node.endpoint);
+    return false;
+  }
+  const auto answer = traffic::WatchAnswerFromJson(*json);
+  if (!answer.has_value()) {
+    log_.Warn("Can't read a control node's answer.",
+              {{"node", node.endpoint.ToString()}});
+    return false;
+  }
+  Adopt(node, *answer);
+  return true;
+}
+
+void ControlFollower::Adopt(Node& node, const traffic::WatchAnswer& answer) {
+  const TimePoint now = SteadyNow();
+  node.boot = answer.boot;
+  node.revision = answer.revision;
+  node.is_leader = answer.is_leader;
+  node.heard_at = now;
+  AdoptConfiguration(answer);
+  state_.targets.Update(node.endpoint.ToString(), answer.is_whole,
+                        answer.targets, now);
+  if (answer.is_leader && answer.version > 0) {
+    has_heard_leader_ = true;
+  }
+  std::vector<net::Endpoint> members;
+  for (const std::string& member : answer.members) {
+    if (const auto endpoint = net::ParseEndpoint(member)) {
+      members.push_back(*endpoint);
+    }
+  }
+  members_ = {members.begin(), members.end()};
+  Follow(members);
+}
+
+// Never goes back: an answer that was overtaken is older than what is served.
+void ControlFollower::AdoptConfiguration(const traffic::WatchAnswer& answer) {
+  const std::uint64_t in_force =
+      state_.routes == nullptr ? 0 : state_.routes->configuration().version;
+  if (!answer.configuration.has_value() || answer.version <= in_force) {
+    return;
+  }
+  auto read = read_configuration_(*answer.configuration);
+  auto* configuration = std::get_if<traffic::TrafficConfiguration>(&read);
+  if (configuration == nullptr) {
+    log_.Error("Can't read the configuration.",
+               {{"version", answer.version},
+                {"reason", std::get<std::string>(read)}});
+    return;
+  }
+  state_.routes = std::make_shared<const traffic::RouteTable>(
+      std::make_shared<const traffic::TrafficConfiguration>(
+          std::move(*configuration)));
+  log_.Info("Configuration in force.",
+            {{"version", answer.version},
+             {"routes", state_.routes->configuration().routes.size()}});
+}
+
+}  // namespace bilberryspool::gateway
--- /dev/null
+++ b/src/plugins/gateway/control_follower.h
@@ -0,0 +1,66 @@
+// Follows all control nodes: configuration, targets, and the nodes themselves.
+
+#ifndef PLUGINS_GATEWAY_CONTROL_FOLLOWER_H_
+#define PLUGINS_GATEWAY_CONTROL_FOLLOWER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/links/link_client.h"
+#include "libs/telemetry/log.h"
+#include "libs/traffic/watch_codec.h"
+#include "libs/traffic/wire_dialect.h"
+#include "plugins/gateway/gateway_state.h"
+
+namespace bilberryspool::gateway {
+
+// Runs in the gateway's loop; one fiber for each control node that is known.
+class ControlFollower {
+ public:
+  ControlFollower(net::NetworkLoop& loop,
+                  std::shared_ptr<const net::LinkAuthenticator> authenticator,
+                  GatewayState& state,
+                  traffic::ConfigurationReader read_configuration);
+
+  // Adds control nodes to follow; those that are followed already go on.
+  void Follow(const std::vector<net::Endpoint>& nodes);
+
+  // Whether the configuration in force is known not to be an old one: a
+  // process that starts anew must not serve by less than was in force before.
+  bool is_current(TimePoint now) const;
+  std::size_t reachable_nodes() const { return reachable_.size(); }
+
+ private:
+  struct Node {
+    net::Endpoint endpoint;
+    std::uint64_t boot = 0;
+    std::uint64_t revision = 0;
+    bool is_leader = false;
+    bool is_reachable = false;
+    TimePoint heard_at;
+  };
+
+  void Run(const std::shared_ptr<Node>& node);
+  // False where the node did not answer.
+  bool Ask(Node& node);
+  void Adopt(Node& node, const traffic::WatchAnswer& answer);
+  void AdoptConfiguration(const traffic::WatchAnswer& answer);
+
+  net::NetworkLoop& loop_;
+  links::LinkClient client_;
+  GatewayState& state_;
+  traffic::ConfigurationReader read_configuration_;
+  telemetry::Logger log_;
+  std::set<net::Endpoint> followed_;
+  std::set<net::Endpoint> reachable_;
+  std::set<net::Endpoint> members_;
+  TimePoint started_at_;
+  bool has_heard_leader_ = false;
+};
+
+}  // namespace bilberryspool::gateway
+
+#endif  // PLUGINS_GATEWAY_CONTROL_FOLLOWER_H_
--- /dev/null
+++ b/src/plugins/gateway/gateway_process.cc
@@ -0,0 +1,256 @@
+#include "plugins/gateway/gateway_process.h"
+
+#include <sys/stat.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <tuple>
+
+#include "libs/net/http_server.h"
+#include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
+#include "libs/settings/load.h"
+#include "plugins/gateway/control_follower.h"
+#include "plugins/gateway/relay_call.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+
+namespace {
+
+// The platform's balancer needs two failed questions, a second apart, to send
+// callers elsewhere; new connections are taken until then.
+constexpr Duration kBalancerDelay = Milliseconds(2500);
+// Before the platform ends the process.
+constexpr Duration kExitMargin = Milliseconds(400);
+constexpr Duration kDrainPoll = Milliseconds(50);
+constexpr Duration kSettingsPoll = Seconds(1);
+constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
+constexpr std::size_t kMaxBodyBytes = 8UL * 1024 * 1024;
+constexpr Duration kIdleTimeout = Seconds(60);
+
+net::Endpoint ToEndpoint(const settings::SocketAddress& address) {
+  return {address.ip, address.port};
+}
+
+class Process {
+ public:
+  Process(const settings::CommonSettings& common,
+          const settings::GatewaySettings& settings,
+          std::string settings_path,
+          const GatewayInterface& interface,
+          std::shared_ptr<const net::LinkAuthenticator> authenticator)
+      : settings_(settings),
+        settings_path_(std::move(settings_path)),
+        log_("gateway"),
+        state_(loop_, common, settings, interface.dialect,
+               std::random_device()()),
+        follower_(loop_,
+                  std::move(authenticator),
+                  state_,
+                  interface.read_configuration),
+        callers_(
+            loop_,
+            CallerOptions(settings),
+            [this](net::HttpExchange& exchange) { Serve(exchange); }),
+        readiness_(
+            loop_,
+            OptionsFor(settings.readiness_listen),
+            [this](net::HttpExchange& exchange) { ServeReadiness(exchange); }),
+        metrics_(
+            loop_,
+            OptionsFor(settings.metrics_listen),
+            [this](net::HttpExchange& exchange) { ServeMetrics(exchange); }) {}
+
+  void Run() {
+    loop_.Run([this] {
+      const std::string error = Start();
+      if (!error.empty()) {
+        std::cerr << "gateway: " << error << "\n";
+        std::_Exit(1);
+      }
+      loop_.OnStopSignal([this] { loop_.Stop(); });
+      loop_.OnReloadSignal([this] { loop_.Spawn([this] { Reload(); }); });
+      loop_.Spawn([this] { WatchSettings(); });
+      loop_.WaitForStop();
+      Drain();
+      std::_Exit(0);
+    });
+  }
+
+ private:
+  static net::HttpServerOptions OptionsFor(
+      const settings::SocketAddress& address) {
+    net::HttpServerOptions options;
+    options.listen = ToEndpoint(address);
+    return options;
+  }
+
+  static net::HttpServerOptions CallerOptions(
+      const settings::GatewaySettings& settings) {
+    net::HttpServerOptions options = OptionsFor(settings.callers_listen);
+    options.max_header_bytes = kMaxHeaderBytes;
+    options.max_body_bytes = kMaxBodyBytes;
+    options.max_connections = settings.max_open_connections;
+    options.idle_timeout = kIdleTimeout;
+    return options;
+  }
+
+  std::string Start() {
+    file_stamp_ = FileStamp();
+    FollowSeeds(settings_.seeds);
+    for (net::HttpServer* server : {&callers_, &readiness_, &metrics_}) {
+      std::string error = server->Start();
+      if (!error.empty()) {
+        return error;
+      }
+    }
+    log_.Info("Started.", {{"callers", settings_.callers_listen.ToString()},
+                           {"seeds", settings_.seeds.size()}});
+    return "";
+  }
+
+  void FollowSeeds(const std::vector<settings::SocketAddress>& seeds) {
+    std::vector<net::Endpoint> nodes;
+    for (const settings::SocketAddress& seed : seeds) {
+      nodes.push_back(
+          {seed.ip, static_cast<std::uint16_t>(settings_.control_peers_port)});
+    }
+    follower_.Follow(nodes);
+  }
+
+  void Serve(net::HttpExchange& exchange) {
+    RelayCall call(state_, exchange);
+    call.Run();
+  }
+
+  bool is_ready() const {
+    return !is_draining_ && follower_.is_current(SteadyNow());
+  }
+
+  void ServeReadiness(net::HttpExchange& exchange) {
+    constexpr int kOk = 200;
+    constexpr int kUnavailable = 503;
+    const bool ready = is_ready();
+    if (ready != was_ready_) {
+      was_ready_ = ready;
+      log_.Info(ready ? "Ready." : "Not ready.",
+                {{"control_nodes", follower_.reachable_nodes()},
+                 {"draining", is_draining_ ? "yes" : "no"}});
+    }
+    net::HttpResponseHead head;
+    head.status = ready ? kOk : kUnavailable;
+    exchange.Respond(std::move(head), ready ? "ready\n" : "not ready\n");
+  }
+
+  void ServeMetrics(net::HttpExchange& exchange) {
+    state_.metrics
+        .GaugeFor({"bilberryspool_requests_in_progress",
+                   "Requests being served"})
+        .Set(static_cast<double>(state_.requests_in_progress));
+    state_.metrics
+        .GaugeFor({"bilberryspool_control_nodes_reachable",
+                   "Control nodes that answer"})
+        .Set(static_cast<double>(follower_.reachable_nodes()));
+    net::HttpResponseHead head;
+    head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
+  }
+
+  using Stamp = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
+
+  // Changes when the file is written anew or replaced.
+  Stamp FileStamp() const {
+    struct stat status {};
+    if (stat(settings_path_.c_str(), &status) != 0) {
+      return {};
+    }
+    return {status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size};
+  }
+
+  // The file may change without a signal.
+  void WatchSettings() {
+    while (true) {
+      loop_.SleepFor(kSettingsPoll);
+      const Stamp stamp = FileStamp();
+      if (stamp != file_stamp_ && stamp != Stamp{}) {
+        file_stamp_ = stamp;
+        Reload();
+      }
+    }
+  }
+
+  // Only the control nodes to ask can change while the process runs; all else
+  // counts at the next start. A bad file changes nothing.
+  void Reload() {
+    const auto loaded = settings::Load(settings_path_);
+    const auto* settings = std::get_if<settings::Settings>(&loaded);
+    const auto* gateway =
+        settings == nullptr
+            ? nullptr
+            : std::get_if<settings::GatewaySettings>(&settings->role);
+    if (gateway == nullptr) {
+      log_.Warn("The changed settings can't be used; going on without them.");
+      return;
+    }
+    log_.Info("Settings read again.", {{"seeds", gateway->seeds.size()}});
+    FollowSeeds(gateway->seeds);
+  }
+
+  void Drain() {
+    const TimePoint begun = SteadyNow();
+    const TimePoint limit = begun + settings_.drain_grace - kExitMargin;
+    is_draining_ = true;
+    callers_.CloseAfterAnswers();
+    log_.Info("Draining.", {{"in_progress", state_.requests_in_progress}});
+    const TimePoint closing = std::min(begun + kBalancerDelay, limit);
+    while (SteadyNow() < closing) {
+      loop_.SleepFor(kDrainPoll);
+    }
+    callers_.Drain();
+    while (callers_.counts().requests_in_progress > 0 &&
+           SteadyNow() < limit) {
+      loop_.SleepFor(kDrainPoll);
+    }
+    log_.Info("Stopped.",
+              {{"cut_off", callers_.counts().requests_in_progress}});
+  }
+
+  const settings::GatewaySettings& settings_;
+  std::string settings_path_;
+  telemetry::Logger log_;
+  net::NetworkLoop loop_;
+  GatewayState state_;
+  ControlFollower follower_;
+  net::HttpServer callers_;
+  net::HttpServer readiness_;
+  net::HttpServer metrics_;
+  Stamp file_stamp_;
+  bool is_draining_ = false;
+  bool was_ready_ = false;
+};
+
+}  // namespace
+
+int RunGateway(const settings::CommonSettings& common,
+               const settings::GatewaySettings& settings,
+               const std::string& settings_path,
+               const GatewayInterface& interface) {
+  const auto key = net::ReadKeyFile(common.key_file);
+  if (!key.has_value()) {
+    std::cerr << "gateway: can't read a key of at least "
+              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
+              << common.key_file << "\n";
+    return 1;
+  }
+  Process process(common, settings, settings_path, interface,
+                  std::make_shared<const net::LinkAuthenticator>(
+                      common.deployment, common.node, *key));
+  process.Run();
+  return 0;
+}
+
+}  // namespace bilberryspool::gateway
--- /dev/null
+++ b/src/plugins/gateway/gateway_state.cc
@@ -0,0 +1,65 @@
+#include "plugins/gateway/gateway_state.h"
+
+namespace bilberryspool::gateway {
+
+namespace {
+
+// The retry budget holds for all gateways together and none of them knows how
+// many there are. Each takes the share of one in this many; more gateways than
+// that are held by the ratio alone.
+constexpr double kAssumedGateways = 24.0;
+// Part of the ratio that is used, so that a window that begins in the middle
+// of a burst of failures holds as well.
+constexpr double kUsedRatio = 0.7;
+
+// A connection is used once: a request that can't be repeated must not meet a
+// kept connection that its target has just closed, and bytes that follow an
+// answer must not be taken for the next one. A connection costs a target about
+// a millisecond.
+net::HttpClientOptions MakeClientOptions() {
+  net::HttpClientOptions options;
+  options.connect_timeout = Milliseconds(500);
+  options.max_idle_per_endpoint = 0;
+  return options;
+}
+
+traffic::TargetPoolOptions MakePoolOptions(
+    const settings::CommonSettings& common) {
+  traffic::TargetPoolOptions options;
+  options.domain = common.failure_domain;
+  return options;
+}
+
+}  // namespace
+
+GatewayState::GatewayState(net::NetworkLoop& loop,
+                           const settings::CommonSettings& common,
+                           const settings::GatewaySettings& gateway,
+                           traffic::WireDialect wire_dialect,
+                           std::uint64_t seed)
+    : dialect(std::move(wire_dialect)),
+      retries(gateway.retries),
+      targets(MakePoolOptions(common), seed),
+      client(loop, MakeClientOptions()),
+      random(seed + 1),
+      log("gateway") {}
+
+limits::RetryBudget& GatewayState::BudgetOf(const ServiceId& service) {
+  limits::RetryBudgetOptions options;
+  options.ratio = retries.ratio * kUsedRatio;
+  options.global_burst = retries.slack / kAssumedGateways;
+  options.global_reserve = options.global_burst / ToSeconds(retries.window);
+  options.workspace_burst = options.global_burst;
+  options.workspace_reserve = options.global_reserve;
+  return budgets.try_emplace(service, options).first->second;
+}
+
+void GatewayState::Count(std::string_view outcome) {
+  metrics
+      .CounterFor({"bilberryspool_requests_total",
+                   "Finished requests by outcome"},
+                  {{"outcome", std::string(outcome)}})
+      .Add();
+}
+
+}  // namespace bilberryspool::gateway
--- /dev/null
+++ b/src/plugins/gateway/gateway_state.h
@@ -0,0 +1,49 @@
+// What the requests of one gateway share.
+
+#ifndef PLUGINS_GATEWAY_GATEWAY_STATE_H_
+#define PLUGINS_GATEWAY_GATEWAY_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "libs/base/random.h"
+#include "libs/limits/retry_budget.h"
+#include "libs/net/http_client.h"
+#include "libs/settings/settings.h"
+#include "libs/telemetry/log.h"
+#include "libs/telemetry/metrics.h"
+#include "libs/traffic/route_table.h"
+#include "libs/traffic/target_pool.h"
+#include "libs/traffic/wire_dialect.h"
+
+namespace bilberryspool::gateway {
+
+// Belongs to the gateway's loop.
+struct GatewayState {
+  GatewayState(net::NetworkLoop& loop,
+               const settings::CommonSettings& common,
+               const settings::GatewaySettings& gateway,
+               traffic::WireDialect wire_dialect,
+               std::uint64_t seed);
+
+  limits::RetryBudget& BudgetOf(const ServiceId& service);
+  void Count(std::string_view outcome);
+
+  traffic::WireDialect dialect;
+  settings::RetryLimits retries;
+  // Null until a configuration is known.
+  std::shared_ptr<const traffic::RouteTable> routes;
+  traffic::TargetPool targets;
+  net::HttpClient client;
+  Random random;
+  telemetry::Logger log;
+  telemetry::Registry metrics;
+  std::uint64_t requests_in_progress = 0;
+  std::map<ServiceId, limits::RetryBudget> budgets;
+};
+
+}  // namespace bilberryspool::gateway
+
+#endif  // PLUGINS_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/src/plugins/gateway/relay_call.cc
@@ -0,0 +1,377 @@
+#include "plugins/gateway/relay_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/base/overloaded.h"
+#include "libs/net/steady_time.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+using traffic::RelayStep;
+using traffic::SendResult;
+using traffic::TargetOutcome;
+
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Where nothing else tells when a place will be free.
+constexpr Duration kComeBack = Milliseconds(1000);
+constexpr Duration kComeBackFull = Milliseconds(500);
+
+// A request whose caller names no time and whose route is unknown yet.
+constexpr Duration kDefaultPatience = Seconds(8);
+
+bool IsSuccess(int status) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+bool IsEventStream(const net::HttpResponseHead& head) {
+  return head.headers.ValueOr("Content-Type", "")
+      .starts_with("text/event-stream");
+}
+
+std::string ToSecondsText(Duration duration) {
+  const auto ms = duration.count() / 1000;
+  const std::string part = std::to_string(1000 + ms % 1000).substr(1);
+  return std::to_string(ms / 1000) + "." + part;
+}
+
+}  // namespace
+
+RelayCall::RelayCall(GatewayState& state, net::HttpExchange& exchange)
+    : state_(state),
+      exchange_(exchange),
+      arrived_(SteadyNow()),
+      give_up_at_(arrived_ + kDefaultPatience),
+      head_(ReadHead(exchange.request(), state.dialect)),
+      routes_(state.routes),
+      cancellation_(std::make_shared<net::Cancellation>()) {}
+
+void RelayCall::Run() {
+  ++state_.requests_in_progress;
+  if (Admit()) {
+    exchange_.WatchCaller([this] { OnCallerLeft(); });
+    Relay();
+  }
+  --state_.requests_in_progress;
+}
+
+// Finds the route; answers where there is none.
+bool RelayCall::Admit() {
+  if (routes_ == nullptr) {
+    Refuse(kComeBack, "no configuration yet");
+    return false;
+  }
+  const auto outcome = routes_->Match(head_.host, head_.path, head_.key);
+  if (std::holds_alternative<traffic::NoRoute>(outcome)) {
+    Fail(kNotFound, "no route");
+    return false;
+  }
+  if (std::holds_alternative<traffic::KeyUnknown>(outcome)) {
+    Fail(kUnauthorized, "key unknown");
+    return false;
+  }
+  match_ = std::get<traffic::RouteMatch>(outcome);
+  give_up_at_ =
+      arrived_ + std::min(match_.route->timeout,
+                          head_.patience.value_or(match_.route->timeout));
+  service_ = traffic::ChooseService(*match_.route, state_.random.Fraction());
+  return true;
+}
+
+void RelayCall::Relay() {
+  state_.BudgetOf(service_).OnFirstAttempt(Workspace(), arrived_);
+  while (true) {
+    const auto chosen =
+        state_.targets.Choose(service_, tried_, SteadyNow());
+    if (const auto* why = std::get_if<traffic::NoChoice>(&chosen)) {
+      AnswerNoTarget(*why);
+      return;
+    }
+    const auto& choice = std::get<traffic::Choice>(chosen);
+    tried_.insert(choice.target);
+    ++sends_;
+    const SendOutcome outcome = SendTo(choice);
+    if (std::holds_alternative<Answered>(outcome)) {
+      Finish("served", "");
+      return;
+    }
+    if (std::holds_alternative<CallerLeft>(outcome) || caller_left_) {
+      Finish("caller_left", "");
+      return;
+    }
+    if (std::holds_alternative<BrokenOff>(outcome)) {
+      exchange_.AbortStream();
+      Finish("broken_off", "");
+      return;
+    }
+    const auto& failed = std::get<NotServed>(outcome);
+    traffic::RelayState relay;
+    relay.may_repeat = match_.route->may_repeat();
+    relay.last = failed.result;
+    relay.may_have_run_before = may_have_run_;
+    relay.sends = sends_;
+    relay.allowed_sends = match_.route->attempts;
+    relay.time_left = time_left();
+    RelayStep step = traffic::NextStep(relay);
+    if (step == RelayStep::kSendAgain &&
+        failed.result != SendResult::kNotSent && !MayRetry()) {
+      trail_ += "(budget)";
+      relay.allowed_sends = sends_;
+      step = traffic::NextStep(relay);
+    }
+    if (failed.result == SendResult::kFailed ||
+        failed.result == SendResult::kUnknown) {
+      may_have_run_ = true;
+    }
+    if (step != RelayStep::kSendAgain) {
+      AnswerStep(step, failed.why);
+      return;
+    }
+  }
+}
+
+RelayCall::SendOutcome RelayCall::SendTo(const traffic::Choice& choice) {
+  trail_ += (trail_.empty() ? "" : ";") + choice.target.value() + "@" +
+            choice.address + " load=" +
+            std::to_string(static_cast<int>(choice.load)) + "/" +
+            std::to_string(choice.slots);
+  ForwardedHead forwarded;
+  if (match_.holder != nullptr) {
+    forwarded.workspace = match_.holder->workspace.value();
+  }
+  forwarded.target = choice.target.value();
+  forwarded.time_left = time_left();
+  forwarded.priority = match_.priority;
+  if (has_begun_ && splitter_.last_id().has_value()) {
+    forwarded.last_event_id = *splitter_.last_id();
+  }
+  const auto endpoint = net::ParseEndpoint(choice.address);
+  if (!endpoint.has_value()) {
+    EndAt(choice, TargetOutcome::kFailed);
+    return NotServed{SendResult::kNotSent, "no address"};
+  }
+  auto opened = state_.client.Open(
+      *endpoint,
+      MakeTargetRequest(exchange_.request(), forwarded, state_.dialect),
+      patience(), cancellation_);
+  if (const auto* error = std::get_if<net::HttpError>(&opened)) {
+    return Judge(choice, *error);
+  }
+  auto& stream = *std::get<std::unique_ptr<net::HttpClientStream>>(opened);
+  open_stream_ = &stream;
+  SendOutcome outcome = JudgeHead(choice, stream.head());
+  if (const auto* failed = std::get_if<NotServed>(&outcome);
+      failed == nullptr) {
+    const bool is_stream = match_.route->kind == traffic::RequestKind::kStream;
+    outcome = is_stream && IsEventStream(stream.head())
+                  ? TakeStream(choice, stream)
+                  : TakeWhole(choice, stream);
+  }
+  open_stream_ = nullptr;
+  return outcome;
+}
+
+// No head came.
+RelayCall::SendOutcome RelayCall::Judge(const traffic::Choice& choice,
+                                        const net::HttpError& error) {
+  if (caller_left_) {
+    EndAt(choice, TargetOutcome::kGood);
+    return CallerLeft{};
+  }
+  EndAt(choice, TargetOutcome::kFailed);
+  const bool is_unsent = error.kind == net::HttpErrorKind::kConnect;
+  trail_ += is_unsent ? " unreachable" : " no_head:" + error.text;
+  return NotServed{is_unsent ? SendResult::kNotSent : SendResult::kUnknown,
+                   error.text};
+}
+
+// Answered{} stands for a head that is fit to be followed by its body.
+RelayCall::SendOutcome RelayCall::JudgeHead(const traffic::Choice& choice,
+                                            const net::HttpResponseHead& head) {
+  const traffic::WireDialect& dialect = state_.dialect;
+  const TimePoint now = SteadyNow();
+  if (const auto text = head.headers.Find(dialect.load)) {
+    if (const auto load = ReadLoad(*text)) {
+      state_.targets.OnLoad(choice.target, load->running, load->waiting, now);
+    }
+  }
+  trail_ += " " + std::to_string(head.status);
+  const bool is_refusal = head.headers.Find(dialect.not_executed).has_value();
+  if (head.status == kMisdirected || is_refusal) {
+    const bool is_replaced = head.status == kMisdirected;
+    EndAt(choice,
+          is_replaced ? TargetOutcome::kReplaced : TargetOutcome::kFull);
+    trail_ += " not_executed";
+    return NotServed{SendResult::kNotExecuted, "target refused"};
+  }
+  const auto id = head.headers.Find(dialect.request_id);
+  if (id.has_value() && *id != head_.request_id) {
+    EndAt(choice, TargetOutcome::kFailed);
+    trail_ += " other_answer";
+    return NotServed{SendResult::kUnknown, "another request's answer"};
+  }
+  if (IsSuccess(head.status) && !head.headers.Find(dialect.signature)) {
+    EndAt(choice, TargetOutcome::kFailed);
+    trail_ += " unsigned";
+    return NotServed{SendResult::kUnknown, "no signature"};
+  }
+  return Answered{};
+}
+
+RelayCall::SendOutcome RelayCall::TakeWhole(const traffic::Choice& choice,
+                                            net::HttpClientStream& stream) {
+  std::string body;
+  while (true) {
+    traffic::EventSplitter unused;
+    net::StreamPiece piece = stream.Read(patience());
+    if (const auto* bytes = std::get_if<std::string>(&piece)) {
+      body += *bytes;
+      continue;
+    }
+    if (const auto* error = std::get_if<net::HttpError>(&piece)) {
+      return Judge(choice, *error);
+    }
+    break;
+  }
+  const net::HttpResponseHead& head = stream.head();
+  if (head.status >= kServerError) {
+    EndAt(choice, TargetOutcome::kFailed);
+    failure_ = net::HttpResponse{MakeCallerHead(head), std::move(body)};
+    return NotServed{SendResult::kFailed,
+                     "target answered " + std::to_string(head.status)};
+  }
+  EndAt(choice, TargetOutcome::kGood);
+  if (has_begun_) {
+    return BrokenOff{};
+  }
+  exchange_.Respond(MakeCallerHead(head), body);
+  return Answered{};
+}
+
+void RelayCall::AnswerNoTarget(traffic::NoChoice why) {
+  if (has_begun_) {
+    exchange_.AbortStream();
+    Finish("broken_off", "no target to go on at");
+    return;
+  }
+  if (failure_.has_value()) {
+    AnswerStep(RelayStep::kPassFailureOn, "no other target");
+    return;
+  }
+  if (may_have_run_ && !match_.route->may_repeat()) {
+    Fail(kBadGateway, "no other target");
+    return;
+  }
+  switch (why) {
+    case traffic::NoChoice::kNone:
+      Refuse(kComeBack, "no target");
+      return;
+    case traffic::NoChoice::kFull:
+      Refuse(kComeBackFull, "all targets full");
+      return;
+    case traffic::NoChoice::kResting:
+      Refuse(kComeBack, "all targets failed lately");
+      return;
+  }
+}
+
+void RelayCall::AnswerStep(RelayStep step, const std::string& why) {
+  if (has_begun_) {
+    exchange_.AbortStream();
+    Finish("broken_off", why);
+    return;
+  }
+  switch (step) {
+    case RelayStep::kPassFailureOn:
+      exchange_.Respond(failure_->head, failure_->body);
+      Finish("target_failed", why);
+      return;
+    case RelayStep::kRefuse:
+      Refuse(kComeBackFull, why);
+      return;
+    case RelayStep::kFailInTime:
+      Fail(kGatewayTimeout, why);
+      return;
+    case RelayStep::kFail:
+    case RelayStep::kSendAgain:
+      Fail(kBadGateway, why);
+      return;
+  }
+}
+
+void RelayCall::Refuse(Duration come_back, std::string_view why) {
+  net::HttpResponseHead head;
+  head.status = kUnavailable;
+  head.headers.Add("Content-Type", "text/plain");
+  head.headers.Add("Retry-After", ToSecondsText(come_back));
+  exchange_.Respond(std::move(head), "not run; come back later\n");
+  Finish("refused", why);
+}
+
+void RelayCall::Fail(int status, std::string_view why) {
+  net::HttpResponseHead head;
+  head.status = status;
+  head.headers.Add("Content-Type", "text/plain");
+  exchange_.Respond(std::move(head), std::string(why) + "\n");
+  Finish("failed_" + std::to_string(status), why);
+}
+
+void RelayCall::Finish(std::string_view outcome, std::string_view why) {
+  const TimePoint now = SteadyNow();
+  state_.Count(outcome);
+  state_.log.Info(
+      "Request.",
+      {{"id", head_.request_id},
+       {"outcome", outcome},
+       {"why", why},
+       {"route", match_.route == nullptr ? "" : match_.route->name},
+       {"service", service_.value()},
+       {"sends", sends_},
+       {"trail", trail_},
+       {"version", routes_ == nullptr ? 0 : routes_->configuration().version},
+       {"first_ms",
+        first_event_at_ == TimePoint{}
+            ? -1
+            : (first_event_at_ - arrived_).count() / 1000},
+       {"ms", (now - arrived_).count() / 1000}});
+}
+
+bool RelayCall::MayRetry() {
+  return state_.BudgetOf(service_).TryRetry(Workspace(), SteadyNow());
+}
+
+Duration RelayCall::time_left() const {
+  return std::max(give_up_at_ - SteadyNow(), Duration::zero());
+}
+
+Duration RelayCall::patience() const {
+  return std::max(time_left(), Milliseconds(1));
+}
+
+// Runs on the loop's dispatcher, which must not be suspended.
+void RelayCall::OnCallerLeft() {
+  caller_left_ = true;
+  if (open_stream_ != nullptr) {
+    open_stream_->Cancel();
+    return;
+  }
+  cancellation_->Cancel();
+}
+
+void RelayCall::EndAt(const traffic::Choice& choice, TargetOutcome outcome) {
+  state_.targets.OnEnded(choice.target, outcome, SteadyNow());
+}
+
+}  // namespace bilberryspool::gateway
--- /dev/null
+++ b/src/plugins/gateway/relay_call.h
@@ -0,0 +1,97 @@
+// The life of one caller's request: route, choose a target, send, and either
+// pass the answer on or decide what follows.
+
+#ifndef PLUGINS_GATEWAY_RELAY_CALL_H_
+#define PLUGINS_GATEWAY_RELAY_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "libs/net/cancellation.h"
+#include "libs/net/http_server.h"
+#include "libs/traffic/event_splitter.h"
+#include "libs/traffic/relay_rules.h"
+#include "plugins/gateway/gateway_state.h"
+#include "plugins/gateway/request_head.h"
+
+namespace bilberryspool::gateway {
+
+// Runs in the fiber of the caller's connection.
+class RelayCall {
+ public:
+  RelayCall(GatewayState& state, net::HttpExchange& exchange);
+
+  void Run();
+
+ private:
+  // A target's whole answer that is passed on.
+  struct Answered {};
+  // The caller has left: nobody is there to answer.
+  struct CallerLeft {};
+  // The answer was begun and can't be finished.
+  struct BrokenOff {};
+  // No success; the failure, if the target gave one, is kept in `failure_`.
+  struct NotServed {
+    traffic::SendResult result;
+    std::string why;
+  };
+  using SendOutcome =
+      std::variant<Answered, CallerLeft, BrokenOff, NotServed>;
+
+  // relay_call.cc
+  bool Admit();
+  void Relay();
+  SendOutcome SendTo(const traffic::Choice& choice);
+  SendOutcome Judge(const traffic::Choice& choice, const net::HttpError& error);
+  SendOutcome JudgeHead(const traffic::Choice& choice,
+                        const net::HttpResponseHead& head);
+  SendOutcome TakeWhole(const traffic::Choice& choice,
+                        net::HttpClientStream& stream);
+  void AnswerNoTarget(traffic::NoChoice why);
+  void AnswerStep(traffic::RelayStep step, const std::string& why);
+  void Refuse(Duration come_back, std::string_view why);
+  void Fail(int status, std::string_view why);
+  void Finish(std::string_view outcome, std::string_view why);
+  bool MayRetry();
+  Duration time_left() const;
+  // How long the next sign of a target may take.
+  Duration patience() const;
+  void OnCallerLeft();
+  void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
+
+  // relay_call_streams.cc
+  SendOutcome TakeStream(const traffic::Choice& choice,
+                         net::HttpClientStream& stream);
+  bool PassEvents(const net::HttpResponseHead& head, const std::string& events);
+
+  GatewayState& state_;
+  net::HttpExchange& exchange_;
+  TimePoint arrived_;
+  TimePoint give_up_at_;
+  RequestHead head_;
+  // Keeps the route alive when a newer configuration comes.
+  std::shared_ptr<const traffic::RouteTable> routes_;
+  traffic::RouteMatch match_;
+  ServiceId service_;
+  std::set<TargetId> tried_;
+  std::uint32_t sends_ = 0;
+  bool may_have_run_ = false;
+  bool caller_left_ = false;
+  std::shared_ptr<net::Cancellation> cancellation_;
+  net::HttpClientStream* open_stream_ = nullptr;
+  // A failure that a target answered, to be passed on as it is.
+  std::optional<net::HttpResponse> failure_;
+  // Streams.
+  traffic::EventSplitter splitter_;
+  bool has_begun_ = false;
+  TimePoint first_event_at_;
+  // What the log line tells of each send.
+  std::string trail_;
+};
+
+}  // namespace bilberryspool::gateway
+
+#endif  // PLUGINS_GATEWAY_RELAY_CALL_H_
--- /dev/null
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -0,0 +1,58 @@
+// RelayCall: answers that come as a series of events.
+
+#include "libs/net/steady_time.h"
+#include "plugins/gateway/relay_call.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+using traffic::SendResult;
+using traffic::TargetOutcome;
+
+// The head goes to the caller with the first whole event: until then another
+// target can still give the answer from its beginning. After that, where the
+// stream may be resumed, another target goes on behind the last whole event
+// under the head of the first.
+RelayCall::SendOutcome RelayCall::TakeStream(const traffic::Choice& choice,
+                                             net::HttpClientStream& stream) {
+  splitter_.ForgetUnfinished();
+  while (true) {
+    net::StreamPiece piece = stream.Read(patience());
+    if (const auto* bytes = std::get_if<std::string>(&piece)) {
+      const std::string events = splitter_.Take(*bytes);
+      if (!events.empty() && !PassEvents(stream.head(), events)) {
+        stream.Cancel();
+        EndAt(choice, TargetOutcome::kGood);
+        return CallerLeft{};
+      }
+      continue;
+    }
+    if (const auto* error = std::get_if<net::HttpError>(&piece)) {
+      return Judge(choice, *error);
+    }
+    break;
+  }
+  if (!splitter_.unfinished().empty() || !has_begun_) {
+    EndAt(choice, TargetOutcome::kFailed);
+    trail_ += " torn";
+    return NotServed{SendResult::kUnknown, "the stream ended in an event"};
+  }
+  EndAt(choice, TargetOutcome::kGood);
+  return exchange_.EndStream() ? SendOutcome(Answered{})
+                               : SendOutcome(CallerLeft{});
+}
+
+// False where the caller is gone.
+bool RelayCall::PassEvents(const net::HttpResponseHead& head,
+                           const std::string& events) {
+  if (!has_begun_) {
+    has_begun_ = true;
+    first_event_at_ = SteadyNow();
+    if (!exchange_.BeginStream(MakeCallerHead(head))) {
+      return false;
+    }
+  }
+  return exchange_.WritePiece(events);
+}
+
+}  // namespace bilberryspool::gateway
--- /dev/null
+++ b/src/plugins/gateway/request_head.cc
@@ -0,0 +1,128 @@
+#include "plugins/gateway/request_head.h"
+
+#include <algorithm>
+#include <charconv>
+#include <vector>
+
+namespace bilberryspool::gateway {
+
+namespace {
+
+// The highest number that an engine takes; 0 goes first.
+constexpr std::uint32_t kLeastUrgent = 9;
+
+std::string WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool has_port =
+      colon != std::string_view::npos && host.find(']', colon) ==
+                                             std::string_view::npos;
+  std::string name(has_port ? host.substr(0, colon) : host);
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char byte) { return std::tolower(byte); });
+  return name;
+}
+
+// Header fields that a Connection field names concern one connection alone.
+std::vector<std::string> NominatedFields(const net::HttpHeaders& headers) {
+  std::vector<std::string> names;
+  for (const net::HttpHeader& field : headers) {
+    if (!net::EqualNames(field.name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      std::string_view name = rest.substr(0, comma);
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+      while (name.starts_with(' ')) {
+        name.remove_prefix(1);
+      }
+      while (name.ends_with(' ')) {
+        name.remove_suffix(1);
+      }
+      names.emplace_back(name);
+    }
+  }
+  return names;
+}
+
+std::optional<Duration> ReadMilliseconds(std::string_view text) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  constexpr double kLongestMs = 24.0 * 3600.0 * 1000.0;
+  if (parsed.ec != std::errc() || parsed.ptr != end || !(number >= 0.0) ||
+      number > kLongestMs) {
+    return std::nullopt;
+  }
+  constexpr double kMicrosecondsPerMs = 1000.0;
+  return Microseconds(static_cast<std::int64_t>(number * kMicrosecondsPerMs));
+}
+
+}  // namespace
+
+RequestHead ReadHead(const net::HttpRequest& request,
+                     const traffic::WireDialect& dialect) {
+  RequestHead head;
+  head.request_id =
+      std::string(request.headers.ValueOr(dialect.request_id, ""));
+  head.host = WithoutPort(request.headers.ValueOr("Host", ""));
+  head.path = request.target.substr(0, request.target.find('?'));
+  head.key = std::string(request.headers.ValueOr(dialect.key, ""));
+  if (const auto text = request.headers.Find(dialect.deadline_ms)) {
+    head.patience = ReadMilliseconds(*text);
+  }
+  return head;
+}
+
+net::HttpRequest MakeTargetRequest(const net::HttpRequest& request,
+                                   const ForwardedHead& head,
+                                   const traffic::WireDialect& dialect) {
+  net::HttpRequest forwarded;
+  forwarded.method = request.method;
+  forwarded.target = request.target;
+  forwarded.body = request.body;
+  forwarded.headers = request.headers;
+  for (const std::string& name : NominatedFields(request.headers)) {
+    forwarded.headers.Remove(name);
+  }
+  forwarded.headers.Remove("Expect");
+  forwarded.headers.Remove(dialect.key);
+  forwarded.headers.Remove(dialect.workspace);
+  if (!head.workspace.empty()) {
+    forwarded.headers.Add(dialect.workspace, head.workspace);
+  }
+  forwarded.headers.Set(dialect.expected_target, head.target);
+  forwarded.headers.Set(dialect.deadline_ms,
+                        std::to_string(head.time_left / Milliseconds(1)));
+  forwarded.headers.Set(dialect.priority,
+                        std::to_string(std::min(head.priority, kLeastUrgent)));
+  if (!head.last_event_id.empty()) {
+    forwarded.headers.Set("Last-Event-Id", head.last_event_id);
+  }
+  return forwarded;
+}
+
+net::HttpResponseHead MakeCallerHead(const net::HttpResponseHead& head) {
+  net::HttpResponseHead passed = head;
+  for (const std::string& name : NominatedFields(head.headers)) {
+    passed.headers.Remove(name);
+  }
+  return passed;
+}
+
+std::optional<ReportedLoad> ReadLoad(std::string_view text) {
+  ReportedLoad load;
+  const char* end = text.data() + text.size();
+  const auto running = std::from_chars(text.data(), end, load.running);
+  if (running.ec != std::errc() || running.ptr == end || *running.ptr != ',') {
+    return std::nullopt;
+  }
+  const auto waiting = std::from_chars(running.ptr + 1, end, load.waiting);
+  if (waiting.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return load;
+}
+
+}  // namespace bilberryspool::gateway
