Bring self-stepping groups to better expert maps, by step

Cause: on the users' platform engines step by themselves and the most loaded rank of each layer holds all others; the first map was never changed.

Ruled out: fencing by the engines' order counter (trial: it stays 0 for these orders), so safety rests on never releasing before every rank has answered.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -13,6 +13,7 @@
 #include "libs/telemetry/log.h"
 #include "platform/configuration_codec.h"
 #include "platform/control_api.h"
+#include "platform/engine_codec.h"
 #include "platform/wire_names.h"
 #include "plugins/agent/agent_process.h"
 #include "plugins/control_node/control_node_process.h"
@@ -106,7 +107,8 @@
                    return control_node::RunControlNode(
                        settings.common, control_settings,
                        {platform::ReadConfiguration,
-                        platform::MakeControlHandler});
+                        platform::MakeControlHandler,
+                        platform::MakeEngineProtocol()});
                  }},
       settings.role);
 }
--- /dev/null
+++ b/src/libs/groups/step_switch.cc
@@ -0,0 +1,454 @@
+#include "libs/groups/step_switch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "libs/base/overloaded.h"
+
+namespace bilberryspool::groups {
+
+namespace {
+
+constexpr std::uint32_t kMostLateHolds = 8;
+constexpr Duration kShortestStep = Milliseconds(1);
+constexpr Duration kLongestStep = Milliseconds(200);
+
+bool SameOrder(const EngineOrder& left, const EngineOrder& right) {
+  if (left.index() != right.index()) {
+    return false;
+  }
+  return std::visit(
+      Overloaded{[&](const PrepareMap& order) {
+                   return order.version == std::get<PrepareMap>(right).version;
+                 },
+                 [&](const ArmMap& order) {
+                   const auto& other = std::get<ArmMap>(right);
+                   return order.version == other.version &&
+                          order.step == other.step;
+                 },
+                 [&](const DisarmMap& order) {
+                   return order.version == std::get<DisarmMap>(right).version;
+                 },
+                 [&](const HoldStep& order) {
+                   return order.step == std::get<HoldStep>(right).step;
+                 },
+                 [&](const ReleaseStep& order) {
+                   return order.step == std::get<ReleaseStep>(right).step;
+                 }},
+      left);
+}
+
+}  // namespace
+
+StepSwitch::StepSwitch(StepSwitchOptions options,
+                       MapVersion first_version,
+                       TimePoint now)
+    : options_(options), entered_(now), next_version_(first_version) {
+  trusted_from_ = now + options_.takeover_delay;
+  for (std::uint32_t i = 0; i < options_.ranks; ++i) {
+    ranks_[RankIndex(i)];
+  }
+}
+
+void StepSwitch::Enter(SwitchPhase phase, TimePoint now) {
+  phase_ = phase;
+  entered_ = now;
+  for (auto& [index, rank] : ranks_) {
+    rank.is_done = false;
+    rank.is_pending = false;
+    rank.send_next = now;
+    rank.to_disarm.reset();
+  }
+}
+
+void StepSwitch::GiveUp(std::string why, TimePoint now) {
+  why_ = std::move(why);
+  target_.reset();
+  trusted_from_ = now + options_.report_lag;
+  Enter(SwitchPhase::kObserving, now);
+}
+
+bool StepSwitch::AllDone() const {
+  return std::all_of(ranks_.begin(), ranks_.end(),
+                     [](const auto& item) { return item.second.is_done; });
+}
+
+bool StepSwitch::AllReportedSince(TimePoint since) const {
+  return std::all_of(ranks_.begin(), ranks_.end(), [since](const auto& item) {
+    return item.second.report.has_value() && item.second.asked >= since;
+  });
+}
+
+bool StepSwitch::IsWhole(TimePoint now) const {
+  constexpr Duration kForgotten = Seconds(4);
+  return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto& item) {
+    const Rank& rank = item.second;
+    return rank.report.has_value() && now - rank.asked < kForgotten &&
+           rank.report->is_open && rank.report->epoch == epoch_;
+  });
+}
+
+void StepSwitch::NotePace(const EngineReport& report, TimePoint asked) {
+  if (report.step <= seen_step_) {
+    return;
+  }
+  const auto steps =
+      static_cast<Duration::rep>(report.step.value() - seen_step_.value());
+  if (seen_step_.value() > 0 && asked > seen_at_) {
+    const Duration pace = (asked - seen_at_) / steps;
+    step_time_ = std::clamp((step_time_ + pace) / 2, kShortestStep,
+                            kLongestStep);
+  }
+  seen_step_ = report.step;
+  seen_at_ = asked;
+}
+
+void StepSwitch::OnReport(RankIndex index,
+                          const EngineReport& report,
+                          TimePoint asked) {
+  const auto found = ranks_.find(index);
+  if (found == ranks_.end() || asked < found->second.asked) {
+    return;
+  }
+  found->second.report = report;
+  found->second.asked = asked;
+  if (report.epoch == epoch_) {
+    NotePace(report, asked);
+  }
+}
+
+// A group that formed anew has forgotten all orders and uses its first map.
+void StepSwitch::CheckEpoch(TimePoint now) {
+  GroupEpoch newest = epoch_;
+  for (const auto& [index, rank] : ranks_) {
+    if (rank.report.has_value()) {
+      newest = std::max(newest, rank.report->epoch);
+    }
+  }
+  if (newest == epoch_) {
+    return;
+  }
+  epoch_ = newest;
+  map_.reset();
+  version_ = MapVersion(0);
+  target_.reset();
+  seen_step_ = StepNumber(0);
+  trusted_from_ = std::max(trusted_from_, now + options_.report_lag);
+  Enter(SwitchPhase::kObserving, now);
+}
+
+std::optional<MapVersion> StepSwitch::unread_version() const {
+  if (phase_ != SwitchPhase::kObserving || map_ != nullptr ||
+      ranks_.empty() || !ranks_.begin()->second.report.has_value()) {
+    return std::nullopt;
+  }
+  return ranks_.begin()->second.report->map;
+}
+
+void StepSwitch::OnMapRead(MapVersion version, MapPointer map) {
+  if (phase_ == SwitchPhase::kObserving && map_ == nullptr) {
+    version_ = version;
+    map_ = std::move(map);
+  }
+}
+
+void StepSwitch::Begin(MapPointer map, TimePoint now) {
+  if (phase_ != SwitchPhase::kIdle) {
+    return;
+  }
+  why_.clear();
+  target_ = std::move(map);
+  target_version_ = next_version_;
+  next_version_ = next_version_.Next();
+  late_holds_ = 0;
+  Enter(SwitchPhase::kPreparing, now);
+}
+
+void StepSwitch::Observe(TimePoint now) {
+  if (map_ == nullptr || !IsWhole(now) || !AllReportedSince(trusted_from_)) {
+    return;
+  }
+  std::optional<ArmedMap> armed;
+  bool all_armed = true;
+  bool any_armed = false;
+  std::optional<StepNumber> held;
+  for (const auto& [index, rank] : ranks_) {
+    const EngineReport& report = *rank.report;
+    const MapVersion highest =
+        std::max(report.map, report.prepared.value_or(report.map));
+    next_version_ = std::max(next_version_, highest.Next());
+    if (report.held.has_value()) {
+      held = report.held;
+      holder_ = index;
+    }
+    any_armed = any_armed || report.armed.has_value();
+    all_armed = all_armed && report.armed.has_value() &&
+                (!armed.has_value() || *armed == *report.armed);
+    armed = report.armed;
+  }
+  if (held.has_value() && all_armed && armed->step == *held) {
+    // A predecessor's change lacks nothing but the release.
+    target_version_ = armed->version;
+    target_ = nullptr;
+    step_ = *held;
+    Enter(SwitchPhase::kReleasing, now);
+    return;
+  }
+  if (held.has_value()) {
+    step_ = *held;
+    BeginClearing(now);
+    return;
+  }
+  const bool same_map =
+      std::all_of(ranks_.begin(), ranks_.end(), [this](const auto& item) {
+        return item.second.report->map == version_;
+      });
+  if (!any_armed && same_map) {
+    Enter(SwitchPhase::kIdle, now);
+    return;
+  }
+  if (!same_map && !any_armed) {
+    // The map that was read is not the one in use any more.
+    map_.reset();
+    trusted_from_ = now;
+  }
+}
+
+// Leaves every rank with a newer version prepared and none armed.
+void StepSwitch::BeginClearing(TimePoint now) {
+  target_ = map_;
+  target_version_ = next_version_;
+  next_version_ = next_version_.Next();
+  Enter(SwitchPhase::kClearing, now);
+  for (auto& [index, rank] : ranks_) {
+    if (rank.report.has_value() && rank.report->armed.has_value()) {
+      rank.to_disarm = rank.report->armed->version;
+    }
+  }
+}
+
+void StepSwitch::ChooseStep(TimePoint now) {
+  const Duration since = now - seen_at_ + options_.report_lag + options_.lead;
+  const double ahead = ToSeconds(since) / ToSeconds(step_time_);
+  constexpr double kLeastSteps = 4.0;
+  const double steps = std::ceil(ahead + kLeastSteps) *
+                       static_cast<double>(1U << late_holds_);
+  step_ = StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
+}
+
+// Released: the ranks switch as the step begins, which an idle group puts off.
+void StepSwitch::Settle(TimePoint now) {
+  if (!AllReportedSince(entered_ + options_.report_lag)) {
+    return;
+  }
+  bool is_over = true;
+  for (const auto& [index, rank] : ranks_) {
+    const EngineReport& report = *rank.report;
+    if (report.held.has_value()) {
+      // A hold that was carried out late.
+      if (*report.held == step_) {
+        holder_ = index;
+        Enter(SwitchPhase::kReleasing, now);
+      } else {
+        GiveUp("a step is held that was not asked for", now);
+      }
+      return;
+    }
+    is_over = is_over && !report.armed.has_value();
+  }
+  if (!is_over) {
+    return;
+  }
+  const MapVersion in_use = ranks_.begin()->second.report->map;
+  if (in_use == target_version_ && target_ != nullptr) {
+    map_ = target_;
+    version_ = target_version_;
+    Enter(SwitchPhase::kIdle, now);
+    return;
+  }
+  if (in_use != version_) {
+    map_.reset();
+  }
+  GiveUp(why_, now);
+}
+
+void StepSwitch::Advance(TimePoint now) {
+  switch (phase_) {
+    case SwitchPhase::kObserving:
+      Observe(now);
+      return;
+    case SwitchPhase::kIdle: {
+      const bool is_foreign =
+          std::any_of(ranks_.begin(), ranks_.end(), [this](const auto& item) {
+            const auto& report = item.second.report;
+            return report.has_value() && item.second.asked >= entered_ &&
+                   (report->held.has_value() || report->armed.has_value());
+          });
+      if (is_foreign || !IsWhole(now)) {
+        GiveUp("the ranks are not as they were left", now);
+      }
+      return;
+    }
+    case SwitchPhase::kPreparing:
+      if (AllDone()) {
+        ChooseStep(now);
+        holder_ = ranks_.begin()->first;
+        Enter(SwitchPhase::kHolding, now);
+      } else if (now - entered_ > options_.prepare_timeout) {
+        GiveUp("not all ranks prepared in time", now);
+      }
+      return;
+    case SwitchPhase::kHolding:
+      if (ranks_.at(holder_).is_done) {
+        Enter(SwitchPhase::kArming, now);
+      }
+      return;
+    case SwitchPhase::kArming:
+      if (AllDone()) {
+        Enter(SwitchPhase::kReleasing, now);
+      }
+      return;
+    case SwitchPhase::kClearing:
+      if (AllDone()) {
+        why_ = "cleared";
+        Enter(SwitchPhase::kReleasing, now);
+      }
+      return;
+    case SwitchPhase::kReleasing:
+      if (ranks_.at(holder_).is_done) {
+        Enter(SwitchPhase::kSettling, now);
+      }
+      return;
+    case SwitchPhase::kSettling:
+      Settle(now);
+      return;
+  }
+}
+
+std::optional<EngineOrder> StepSwitch::OrderFor(RankIndex index,
+                                                const Rank& rank) const {
+  switch (phase_) {
+    case SwitchPhase::kObserving:
+    case SwitchPhase::kIdle:
+    case SwitchPhase::kSettling:
+      return std::nullopt;
+    case SwitchPhase::kPreparing:
+      return PrepareMap{target_version_, target_};
+    case SwitchPhase::kClearing:
+      if (rank.to_disarm.has_value()) {
+        return DisarmMap{*rank.to_disarm};
+      }
+      return PrepareMap{target_version_, target_};
+    case SwitchPhase::kArming:
+      return ArmMap{target_version_, step_};
+    case SwitchPhase::kHolding:
+      return index == holder_ ? std::optional<EngineOrder>(HoldStep{step_})
+                              : std::nullopt;
+    case SwitchPhase::kReleasing:
+      return index == holder_ ? std::optional<EngineOrder>(ReleaseStep{step_})
+                              : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::vector<RankOrder> StepSwitch::Tick(TimePoint now) {
+  CheckEpoch(now);
+  Advance(now);
+  std::vector<RankOrder> orders;
+  for (auto& [index, rank] : ranks_) {
+    if (rank.is_done || rank.is_pending || now < rank.send_next) {
+      continue;
+    }
+    if (auto order = OrderFor(index, rank)) {
+      rank.is_pending = true;
+      orders.push_back({index, epoch_, std::move(*order)});
+    }
+  }
+  return orders;
+}
+
+// Answers of an earlier phase or of another change say nothing of this one.
+bool StepSwitch::IsAwaited(const RankOrder& order) const {
+  const auto found = ranks_.find(order.rank);
+  if (found == ranks_.end() || order.epoch != epoch_ ||
+      !found->second.is_pending) {
+    return false;
+  }
+  const auto expected = OrderFor(order.rank, found->second);
+  return expected.has_value() && SameOrder(*expected, order.order);
+}
+
+void StepSwitch::OnAnswer(const RankOrder& order,
+                          OrderAnswer answer,
+                          TimePoint now) {
+  if (!IsAwaited(order)) {
+    return;
+  }
+  Rank& rank = ranks_.at(order.rank);
+  rank.is_pending = false;
+  switch (answer) {
+    case OrderAnswer::kDone:
+      if (rank.to_disarm.has_value()) {
+        rank.to_disarm.reset();
+        rank.send_next = now;
+      } else {
+        rank.is_done = true;
+      }
+      break;
+    case OrderAnswer::kBegun:
+      rank.send_next = now + options_.copy_poll;
+      break;
+    case OrderAnswer::kUnanswered:
+      rank.send_next = now;
+      break;
+    case OrderAnswer::kRefused:
+      OnRefused(order, rank, now);
+      break;
+  }
+}
+
+void StepSwitch::OnRefused(const RankOrder& order, Rank& rank, TimePoint now) {
+  rank.send_next = now + options_.resend_after;
+  switch (phase_) {
+    case SwitchPhase::kPreparing:
+      GiveUp("a rank refused to prepare", now);
+      return;
+    case SwitchPhase::kHolding:
+      // The group was faster than thought.
+      if (++late_holds_ >= kMostLateHolds) {
+        GiveUp("the step to hold was always over", now);
+        return;
+      }
+      ChooseStep(now);
+      rank.send_next = now;
+      return;
+    case SwitchPhase::kArming:
+      why_ = "a rank refused to be armed";
+      BeginClearing(now);
+      return;
+    case SwitchPhase::kClearing:
+      if (rank.to_disarm.has_value()) {
+        // It is not armed with that any more.
+        rank.to_disarm.reset();
+      } else if (rank.report.has_value() && rank.report->armed.has_value()) {
+        rank.to_disarm = rank.report->armed->version;
+      } else if (rank.report.has_value() && rank.report->prepared.has_value() &&
+                 *rank.report->prepared >= target_version_) {
+        next_version_ = std::max(next_version_, rank.report->prepared->Next());
+        BeginClearing(now);
+      }
+      return;
+    case SwitchPhase::kReleasing:
+      // Nothing is held there.
+      rank.is_done = true;
+      return;
+    case SwitchPhase::kObserving:
+    case SwitchPhase::kIdle:
+    case SwitchPhase::kSettling:
+      return;
+  }
+  static_cast<void>(order);
+}
+
+}  // namespace bilberryspool::groups
--- /dev/null
+++ b/src/libs/groups/step_switch.h
@@ -0,0 +1,149 @@
+// Brings all ranks of a self-stepping group from one map to another, all at
+// the same step.
+//
+// What can go wrong: a step that begins while two ranks have different maps
+// computes wrong answers for every request of the group, and nothing shows it,
+// since ranks don't compare maps. Orders may be lost, answered late, or carried
+// out seconds after they were given up; the one who gives them may be replaced
+// in the middle. What prevents it:
+//
+// - One rank holds step S before any rank is armed for S, so S can't begin
+//   while some are armed and others not.
+// - S is released only once every rank has confirmed that it is armed with the
+//   same version for S, or that it can't be armed for S any more.
+// - Nobody disarms a rank while all could still be armed: a predecessor that
+//   saw all of them armed may be about to release S. Clearing begins only when
+//   some rank has another version prepared, since then no one can ever have
+//   seen all ranks armed.
+// - Clearing leaves every rank with a newer version prepared, which makes each
+//   late order to arm an older one void.
+// - Versions are never used twice, and those of a successor are higher.
+//
+// Pure: events and `now` in, orders out.
+
+#ifndef LIBS_GROUPS_STEP_SWITCH_H_
+#define LIBS_GROUPS_STEP_SWITCH_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/time.h"
+#include "libs/groups/engine_order.h"
+
+namespace bilberryspool::groups {
+
+struct StepSwitchOptions {
+  std::uint32_t ranks = 0;
+  // Reports describe the rank as it was up to this long before.
+  Duration report_lag = Milliseconds(250);
+  // An order that was not answered is given again after this long.
+  Duration resend_after = Milliseconds(150);
+  // How often a copy that was begun is asked about.
+  Duration copy_poll = Milliseconds(150);
+  // How far ahead of the present step the switch is put, so that all ranks are
+  // armed before the group gets there and need not wait.
+  Duration lead = Milliseconds(150);
+  // A preparation that takes longer is given up; nothing is armed yet.
+  Duration prepare_timeout = Seconds(20);
+  // A new owner waits this long before it judges what it finds: its
+  // predecessor's last orders must show in the reports.
+  Duration takeover_delay = Milliseconds(600);
+};
+
+enum class SwitchPhase {
+  kObserving,  // not all ranks are known, or a takeover is settling
+  kIdle,
+  kPreparing,
+  kHolding,
+  kArming,
+  kReleasing,
+  kSettling,  // released; not all ranks have shown the new map
+  kClearing,
+};
+
+class StepSwitch {
+ public:
+  using MapPointer = std::shared_ptr<const placement::ExpertMap>;
+
+  // `first_version` is above any version of an earlier owner.
+  StepSwitch(StepSwitchOptions options,
+             MapVersion first_version,
+             TimePoint now);
+
+  // `asked` is when the report was asked for.
+  void OnReport(RankIndex rank, const EngineReport& report, TimePoint asked);
+  void OnAnswer(const RankOrder& order, OrderAnswer answer, TimePoint now);
+  // What the map in use holds, for an owner that did not bring it about.
+  void OnMapRead(MapVersion version, MapPointer map);
+  // Starts a change; only while idle.
+  void Begin(MapPointer map, TimePoint now);
+  // The orders that are due.
+  std::vector<RankOrder> Tick(TimePoint now);
+
+  SwitchPhase phase() const { return phase_; }
+  // Why the last change was given up; empty where it was not.
+  const std::string& why() const { return why_; }
+  // The version whose content has to be read before anything can be changed.
+  std::optional<MapVersion> unread_version() const;
+  // The map that all ranks use; null while it is not known.
+  const MapPointer& map() const { return map_; }
+  GroupEpoch epoch() const { return epoch_; }
+  MapVersion version() const { return version_; }
+
+ private:
+  struct Rank {
+    std::optional<EngineReport> report;
+    TimePoint asked;
+    // An answer proved the state that the phase is after.
+    bool is_done = false;
+    bool is_pending = false;
+    TimePoint send_next;
+    // While clearing: what has to be disarmed before the rank can prepare.
+    std::optional<MapVersion> to_disarm;
+  };
+
+  void Enter(SwitchPhase phase, TimePoint now);
+  // Whether all ranks are heard, of one epoch, and the group is open.
+  bool IsWhole(TimePoint now) const;
+  bool AllReportedSince(TimePoint since) const;
+  bool AllDone() const;
+  void CheckEpoch(TimePoint now);
+  void Advance(TimePoint now);
+  void Observe(TimePoint now);
+  void Settle(TimePoint now);
+  void BeginClearing(TimePoint now);
+  void GiveUp(std::string why, TimePoint now);
+  void ChooseStep(TimePoint now);
+  void NotePace(const EngineReport& report, TimePoint asked);
+  std::optional<EngineOrder> OrderFor(RankIndex index, const Rank& rank) const;
+  void OnRefused(const RankOrder& order, Rank& rank, TimePoint now);
+  bool IsAwaited(const RankOrder& order) const;
+
+  StepSwitchOptions options_;
+  std::map<RankIndex, Rank> ranks_;
+  SwitchPhase phase_ = SwitchPhase::kObserving;
+  TimePoint entered_;
+  // Reports must have been asked for after this to be judged.
+  TimePoint trusted_from_;
+  GroupEpoch epoch_;
+  MapVersion next_version_;
+  MapVersion version_;  // in use by all ranks
+  MapPointer map_;
+  MapVersion target_version_;
+  MapPointer target_;
+  StepNumber step_;      // at which the target takes effect
+  RankIndex holder_{0};  // where that step is held
+  std::uint32_t late_holds_ = 0;
+  std::string why_;
+  // For the pace of steps.
+  StepNumber seen_step_;
+  TimePoint seen_at_;
+  Duration step_time_ = Milliseconds(15);
+};
+
+}  // namespace bilberryspool::groups
+
+#endif  // LIBS_GROUPS_STEP_SWITCH_H_
--- a/src/libs/traffic/traffic_configuration.h
+++ b/src/libs/traffic/traffic_configuration.h
@@ -65,6 +65,12 @@
   Duration step_per_request{};  // on top, for each request of the batch
   double prompt_tokens_per_second = 0.0;
   std::uint32_t tokens_per_event = 1;
+  // Layers of experts that runs of one group share; 0: no experts.
+  std::uint32_t expert_layers = 0;
+  std::uint32_t experts_per_layer = 0;
+  std::uint32_t expert_places = 0;  // of one rank in one layer
+  // Experts of one layer that a rank can take in by one change of map.
+  std::uint32_t new_experts = 0;
 
   bool operator==(const EngineModel&) const = default;
 };
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -7,6 +7,7 @@
 #include "libs/net/network_loop.h"
 #include "libs/telemetry/metrics.h"
 #include "plugins/control_node/control_node.h"
+#include "plugins/control_node/group_keeper.h"
 #include "plugins/control_node/watch_service.h"
 
 namespace bilberryspool::control_node {
@@ -36,6 +37,12 @@
               authenticator,
               interface.read_configuration),
         watch_(node_),
+        links_(loop_, authenticator),
+        groups_(loop_,
+                links_,
+                node_,
+                interface.engines,
+                interface.read_configuration),
         peers_(
             loop_,
             PeerOptions(settings),
@@ -116,6 +123,7 @@
       error = metrics_server_.Start();
     }
     if (error.empty()) {
+      groups_.Start();
       log_.Info("Started.",
                 {{"operators", settings_.operators_listen.ToString()},
                  {"peers", settings_.peers_listen.ToString()},
@@ -146,6 +154,8 @@
   net::NetworkLoop loop_;
   ControlNode node_;
   WatchService watch_;
+  links::LinkClient links_;
+  GroupKeeper groups_;
   links::LinkServer peers_;
   net::HttpServer operators_;
   net::HttpServer metrics_server_;
--- /dev/null
+++ b/src/plugins/control_node/group_keeper.cc
@@ -0,0 +1,148 @@
+#include "plugins/control_node/group_keeper.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
+#include "libs/traffic/watch_codec.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(25);
+constexpr Duration kCollectInterval = Seconds(1);
+constexpr Duration kLearnPatience = Milliseconds(500);
+constexpr std::uint64_t kVersionsOfATerm = 1ULL << 20U;
+
+}  // namespace
+
+GroupKeeper::GroupKeeper(net::NetworkLoop& loop,
+                         links::LinkClient& client,
+                         ControlNode& node,
+                         EngineProtocol protocol,
+                         traffic::ConfigurationReader read_configuration)
+    : loop_(loop),
+      links_(client),
+      client_(loop, net::HttpClientOptions{}),
+      node_(node),
+      protocol_(std::move(protocol)),
+      read_configuration_(std::move(read_configuration)),
+      log_("groups"),
+      others_(traffic::TargetBookOptions{}) {}
+
+void GroupKeeper::Start() {
+  loop_.Spawn([this] { Run(); });
+}
+
+void GroupKeeper::Run() {
+  while (true) {
+    loop_.SleepFor(kTickInterval);
+    control::ReplicaDriver* driver = node_.replica().driver();
+    if (!node_.replica().is_leader() || driver == nullptr) {
+      for (auto& [group, task] : tasks_) {
+        ended_.push_back(std::move(task));
+      }
+      tasks_.clear();
+      loop_.SleepFor(kTickInterval * 4);
+      continue;
+    }
+    term_ = driver->replica().term();
+    if (SteadyNow() >= collect_due_) {
+      collect_due_ = SteadyNow() + kCollectInterval;
+      LearnFromMembers();
+      CollectRanks();
+    }
+    for (auto& [group, task] : tasks_) {
+      task->Tick([this] { return node_.replica().is_leader(); });
+    }
+  }
+}
+
+// Targets announce themselves to any control node; the leader needs all.
+void GroupKeeper::LearnFromMembers() {
+  for (const net::Endpoint& peer : node_.replica().FindMembers()) {
+    if (peer.ToString() == node_.replica().self().value()) {
+      continue;
+    }
+    loop_.Spawn([this, peer] {
+      traffic::WatchQuery query;
+      query.version = node_.configuration().version();
+      const auto result = links_.Call(peer, "control.watch",
+                                      traffic::ToJson(query), kLearnPatience);
+      const auto* json = std::get_if<boost::json::value>(&result);
+      if (json == nullptr) {
+        links_.DropIdle(peer);
+        return;
+      }
+      const auto answer = traffic::WatchAnswerFromJson(*json);
+      if (!answer.has_value()) {
+        return;
+      }
+      for (const traffic::TargetRecord& record : answer->targets) {
+        if (record.announcement.standing == traffic::Standing::kGone) {
+          others_.Withdraw(record.announcement.target, SteadyNow());
+        } else if (!record.is_silent) {
+          others_.Announce(record.announcement, SteadyNow());
+        }
+      }
+    });
+  }
+}
+
+const traffic::EngineModel* GroupKeeper::EngineOf(const ServiceId& service) {
+  const config::NumberedConfiguration& accepted = node_.configuration();
+  if (accepted.version() != read_version_) {
+    const auto read = read_configuration_(accepted.text());
+    if (const auto* whole = std::get_if<traffic::TrafficConfiguration>(&read)) {
+      services_ = whole->services;
+      read_version_ = accepted.version();
+    }
+  }
+  const auto found = services_.find(service);
+  return found == services_.end() || !found->second.engine.has_value()
+             ? nullptr
+             : &*found->second.engine;
+}
+
+void GroupKeeper::CollectRanks() {
+  const std::initializer_list<const traffic::TargetBook*> books = {
+      &others_, &node_.targets()};
+  for (const traffic::TargetBook* book : books) {
+    for (const auto& [target, record] : book->records()) {
+      if (record.announcement.group.has_value() && !record.is_silent &&
+          record.announcement.standing != traffic::Standing::kGone) {
+        Tend(target, record.announcement);
+      }
+    }
+  }
+}
+
+void GroupKeeper::Tend(const TargetId&,
+                       const traffic::TargetAnnouncement& told) {
+  const traffic::GroupMembership& place = *told.group;
+  const traffic::EngineModel* engine = EngineOf(told.service);
+  const auto endpoint = net::ParseEndpoint(told.address);
+  if (engine == nullptr || engine->expert_layers == 0 || place.size == 0 ||
+      !endpoint.has_value()) {
+    return;
+  }
+  auto& task = tasks_[place.group];
+  if (task == nullptr || task->ranks() != place.size) {
+    if (task != nullptr) {
+      ended_.push_back(std::move(task));
+    }
+    task = std::make_unique<GroupTask>(
+        loop_, client_, protocol_, place.group, *engine, place.size,
+        MapVersion(term_.value() * kVersionsOfATerm + 1));
+    log_.Info("Looking after a group.", {{"group", place.group.value()},
+                                         {"ranks", place.size},
+                                         {"term", term_.value()}});
+  }
+  task->SetAddress(RankIndex(place.rank), *endpoint);
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/control_node/group_keeper.h
@@ -0,0 +1,109 @@
+// Keeps the expert maps of self-stepping groups near what is in demand.
+//
+// Only the leading control node acts. It learns of the ranks from the targets'
+// announcements, reads what a few of them pick, and brings better maps about
+// by groups::StepSwitch.
+
+#ifndef PLUGINS_CONTROL_NODE_GROUP_KEEPER_H_
+#define PLUGINS_CONTROL_NODE_GROUP_KEEPER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/groups/step_switch.h"
+#include "libs/links/link_client.h"
+#include "libs/net/http_client.h"
+#include "libs/placement/recent_loads.h"
+#include "libs/telemetry/log.h"
+#include "libs/traffic/traffic_configuration.h"
+#include "plugins/control_node/control_node.h"
+#include "plugins/control_node/engine_protocol.h"
+
+namespace bilberryspool::control_node {
+
+// One group. Runs in the control loop.
+class GroupTask {
+ public:
+  GroupTask(net::NetworkLoop& loop,
+            net::HttpClient& client,
+            const EngineProtocol& protocol,
+            GroupId group,
+            const traffic::EngineModel& engine,
+            std::uint32_t ranks,
+            MapVersion first_version);
+
+  void SetAddress(RankIndex rank, const net::Endpoint& endpoint);
+  bool has_all_ranks() const { return addresses_.size() == ranks_; }
+  // To be called often; starts what is due. `may_act` is asked again before
+  // each order leaves.
+  void Tick(const std::function<bool()>& may_act);
+  std::uint32_t ranks() const { return ranks_; }
+
+ private:
+  void AskReports(TimePoint now);
+  void AskPicks(TimePoint now);
+  void ReadMap();
+  void Plan(TimePoint now);
+  void SendOrder(const groups::RankOrder& order,
+                 const std::function<bool()>& may_act);
+  void NotePhase();
+  std::string BodyOf(const net::HttpClient::SendResult& result) const;
+
+  net::NetworkLoop& loop_;
+  net::HttpClient& client_;
+  const EngineProtocol& protocol_;
+  GroupId group_;
+  traffic::EngineModel engine_;
+  std::uint32_t ranks_;
+  telemetry::Logger log_;
+  std::map<RankIndex, net::Endpoint> addresses_;
+  groups::StepSwitch switch_;
+  placement::RecentLoads loads_;
+  groups::SwitchPhase last_phase_ = groups::SwitchPhase::kObserving;
+  TimePoint reports_due_;
+  TimePoint picks_due_;
+  TimePoint plan_due_;
+  TimePoint phase_since_;
+  bool is_reading_map_ = false;
+};
+
+class GroupKeeper {
+ public:
+  GroupKeeper(net::NetworkLoop& loop,
+              links::LinkClient& client,
+              ControlNode& node,
+              EngineProtocol protocol,
+              traffic::ConfigurationReader read_configuration);
+
+  void Start();
+
+ private:
+  void Run();
+  void CollectRanks();
+  void Tend(const TargetId& target, const traffic::TargetAnnouncement& told);
+  void LearnFromMembers();
+  const traffic::EngineModel* EngineOf(const ServiceId& service);
+
+  net::NetworkLoop& loop_;
+  links::LinkClient& links_;
+  net::HttpClient client_;
+  ControlNode& node_;
+  EngineProtocol protocol_;
+  traffic::ConfigurationReader read_configuration_;
+  telemetry::Logger log_;
+  // Of this term; a new leadership starts with new ones.
+  std::map<GroupId, std::unique_ptr<GroupTask>> tasks_;
+  // Their fibers may still run.
+  std::vector<std::unique_ptr<GroupTask>> ended_;
+  traffic::TargetBook others_;
+  std::uint64_t read_version_ = 0;
+  std::map<ServiceId, traffic::Service> services_;
+  Term term_;
+  TimePoint collect_due_;
+};
+
+}  // namespace bilberryspool::control_node
+
+#endif  // PLUGINS_CONTROL_NODE_GROUP_KEEPER_H_
