Plan fewer copies for each change of map

Cause: a change took 0.6 s to copy up to two experts a layer at a rank, one after the other, and small refinements (gain 0.05) kept the group busy when the next shift came.

Changed: three new experts a rank and change over all layers, the worst layer first; a change starts from a gain of 0.12.

--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -40,10 +40,10 @@
   // An order that was not answered is given again after this long.
   Duration resend_after = Milliseconds(150);
   // How often a copy that was begun is asked about.
-  Duration copy_poll = Milliseconds(40);
+  Duration copy_poll = Milliseconds(20);
   // How far ahead of the present step the switch is put, so that all ranks are
   // armed before the group gets there and need not wait.
-  Duration lead = Milliseconds(40);
+  Duration lead = Milliseconds(15);
   // A preparation that takes longer is given up; nothing is armed yet.
   Duration prepare_timeout = Seconds(20);
   // A new owner waits this long before it judges what it finds: its
--- a/src/libs/placement/bounded_plan.cc
+++ b/src/libs/placement/bounded_plan.cc
@@ -1,6 +1,8 @@
 #include "libs/placement/bounded_plan.h"
 
-#include <numeric>
+#include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "libs/placement/layer_search.h"
 
@@ -15,6 +17,75 @@
              : search.layer_time() * static_cast<double>(ranks) / total;
 }
 
+double TotalOf(const ExpertLoads& loads, LayerIndex layer) {
+  double total = 0.0;
+  for (std::uint32_t e = 0; e < loads.experts(); ++e) {
+    total += loads[{layer, ExpertIndex(e)}];
+  }
+  return total;
+}
+
+// The work of one layer's plan.
+class LayerPlan {
+ public:
+  LayerPlan(const ExpertMap& map,
+            const ExpertLoads& loads,
+            const BoundedPlanOptions& options,
+            const std::vector<std::uint32_t>& added_in_all,
+            LayerIndex layer)
+      : options_(options),
+        total_(TotalOf(loads, layer)),
+        added_in_all_(added_in_all),
+        added_(options.ranks, 0),
+        ranks_(options.ranks, {1.0, options.places, true}),
+        search_(map, loads, ranks_, no_rules_, layer) {
+    for (std::uint32_t i = 0; i < options.ranks; ++i) {
+      CloseIfFull(i);
+    }
+  }
+
+  double imbalance() const {
+    return ImbalanceOf(search_, total_, ranks_.size());
+  }
+
+  void Improve() {
+    while (imbalance() > options_.good_enough) {
+      const auto move = search_.Improve();
+      if (!move.has_value()) {
+        return;
+      }
+      for (const CopyChange& change : move->changes) {
+        changes_.push_back(change);
+        if (change.adds) {
+          ++added_[change.rank.value()];
+          CloseIfFull(change.rank.value());
+        }
+      }
+    }
+  }
+
+  const std::vector<CopyChange>& changes() const { return changes_; }
+  const std::vector<std::uint32_t>& added() const { return added_; }
+
+ private:
+  // A full rank takes part no more; a move brings a rank one expert.
+  void CloseIfFull(std::uint32_t rank) {
+    if (added_[rank] >= options_.new_experts ||
+        added_in_all_[rank] + added_[rank] >= options_.new_experts_in_all) {
+      ranks_[rank].usable = false;
+    }
+  }
+
+  const BoundedPlanOptions& options_;
+  double total_;
+  const std::vector<std::uint32_t>& added_in_all_;
+  std::vector<std::uint32_t> added_;
+  std::vector<RankCapacity> ranks_;
+  OperatorRules no_rules_;
+  LayerSearch search_;
+  std::vector<CopyChange> changes_;
+};
+
 }  // namespace
 
 BoundedPlan PlanBounded(const ExpertMap& map,
@@ -24,37 +95,31 @@
   plan.map = map;
   plan.imbalance_before = 0.0;
   plan.imbalance_after = 0.0;
-  const OperatorRules no_rules;
+  std::vector<std::uint32_t> added(options.ranks, 0);
+  std::vector<std::pair<double, LayerIndex>> order;
   for (std::uint32_t i = 0; i < map.layers(); ++i) {
     const LayerIndex layer(i);
-    double total = 0.0;
-    for (std::uint32_t e = 0; e < map.experts(); ++e) {
-      total += loads[{layer, ExpertIndex(e)}];
-    }
-    std::vector<RankCapacity> ranks(options.ranks,
-                                    {1.0, options.places, true});
-    std::vector<std::uint32_t> added(options.ranks, 0);
-    LayerSearch search(map, loads, ranks, no_rules, layer);
-    plan.imbalance_before += ImbalanceOf(search, total, ranks.size());
-    while (ImbalanceOf(search, total, ranks.size()) > options.good_enough) {
-      const auto move = search.Improve();
-      if (!move.has_value()) {
-        break;
-      }
-      for (const CopyChange& change : move->changes) {
-        if (!change.adds) {
-          plan.map.Remove(change.key, change.rank);
-          continue;
-        }
+    const double imbalance =
+        LayerPlan(map, loads, options, added, layer).imbalance();
+    plan.imbalance_before += imbalance;
+    order.emplace_back(-imbalance, layer);
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [negative, layer] : order) {
+    LayerPlan work(map, loads, options, added, layer);
+    work.Improve();
+    for (const CopyChange& change : work.changes()) {
+      if (change.adds) {
         plan.map.Add(change.key, change.rank);
         ++plan.fetches;
-        // A full rank takes part no more; a move brings a rank one expert.
-        if (++added[change.rank.value()] >= options.new_experts) {
-          ranks[change.rank.value()].usable = false;
-        }
+      } else {
+        plan.map.Remove(change.key, change.rank);
       }
     }
-    plan.imbalance_after += ImbalanceOf(search, total, ranks.size());
+    for (std::uint32_t i = 0; i < options.ranks; ++i) {
+      added[i] += work.added()[i];
+    }
+    plan.imbalance_after += work.imbalance();
   }
   const double layers = map.layers() == 0 ? 1.0 : map.layers();
   plan.imbalance_before /= layers;
--- a/src/libs/placement/bounded_plan.h
+++ b/src/libs/placement/bounded_plan.h
@@ -20,6 +20,10 @@
   std::uint32_t ranks = 0;
   std::uint32_t places = 0;       // of one rank in one layer
   std::uint32_t new_experts = 0;  // of one rank in one layer, by one change
+  // Experts that a rank may take in by one change, all layers together: they
+  // are copied one after the other, and the change waits for the last. Layers
+  // that gain most go first.
+  std::uint32_t new_experts_in_all = 3;
   // A layer whose imbalance is below this is left as it is: what further moves
   // gain is less than the copies cost.
   double good_enough = 1.08;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr Duration kBusyReports = Milliseconds(60);
+constexpr Duration kBusyReports = Milliseconds(40);
 constexpr Duration kIdleReports = Milliseconds(1000);
 constexpr Duration kReportPatience = Milliseconds(300);
 constexpr Duration kOrderPatience = Milliseconds(200);
@@ -30,7 +30,7 @@
 // Below this many counts the shares of rare experts are noise.
 constexpr double kLeastWeight = 20'000.0;
 // A change must make the layers this much shorter.
-constexpr double kLeastGain = 0.05;
+constexpr double kLeastGain = 0.12;
 constexpr Duration kPlanInterval = Milliseconds(50);
 
 // The map of a group that has just formed: experts in turn.
