Let every control node know all ranks, so that a new leader can act at once

Cause: a new leader waited for the ranks of the dead one to announce themselves again (2.1 to 3.1 s), and looked for groups once a second.

--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -48,7 +48,7 @@
   Duration prepare_timeout = Seconds(20);
   // A new owner waits this long before it judges what it finds: its
   // predecessor's last orders must show in the reports.
-  Duration takeover_delay = Milliseconds(600);
+  Duration takeover_delay = Milliseconds(300);
 };
 
 enum class SwitchPhase {
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -43,55 +43,64 @@
 void GroupKeeper::Run() {
   while (true) {
     loop_.SleepFor(kTickInterval);
-    control::ReplicaDriver* driver = node_.replica().driver();
-    if (!node_.replica().is_leader() || driver == nullptr) {
+    const bool leads = node_.replica().is_leader();
+    const bool is_due = SteadyNow() >= collect_due_;
+    if (is_due) {
+      LearnFromMembers();
+    }
+    if (is_due || leads != was_leader_) {
+      collect_due_ = SteadyNow() + kCollectInterval;
+      was_leader_ = leads;
+      if (leads) {
+        term_ = node_.replica().driver()->replica().term();
+        CollectRanks();
+      }
+    }
+    if (!leads) {
       for (auto& [group, task] : tasks_) {
         ended_.push_back(std::move(task));
       }
       tasks_.clear();
-      loop_.SleepFor(kTickInterval * 4);
       continue;
     }
-    term_ = driver->replica().term();
-    if (SteadyNow() >= collect_due_) {
-      collect_due_ = SteadyNow() + kCollectInterval;
-      LearnFromMembers();
-      CollectRanks();
-    }
     for (auto& [group, task] : tasks_) {
       task->Tick();
     }
   }
 }
 
-// Targets announce themselves to any control node; the leader needs all.
 void GroupKeeper::LearnFromMembers() {
   for (const net::Endpoint& peer : node_.replica().FindMembers()) {
-    if (peer.ToString() == node_.replica().self().value()) {
-      continue;
+    if (peer.ToString() != node_.replica().self().value()) {
+      loop_.Spawn([this, peer] { LearnFrom(peer); });
+    }
+  }
+}
+
+void GroupKeeper::LearnFrom(const net::Endpoint& peer) {
+  const Mark mark = marks_[peer];
+  traffic::WatchQuery query;
+  query.boot = mark.boot;
+  query.revision = mark.revision;
+  query.version = node_.configuration().version();
+  const auto result = links_.Call(peer, "control.watch",
+                                  traffic::ToJson(query), kLearnPatience);
+  const auto* json = std::get_if<boost::json::value>(&result);
+  if (json == nullptr) {
+    links_.DropIdle(peer);
+    return;
+  }
+  const auto answer = traffic::WatchAnswerFromJson(*json);
+  if (!answer.has_value()) {
+    return;
+  }
+  marks_[peer] = {answer->boot, answer->revision};
+  for (const traffic::TargetRecord& record : answer->targets) {
+    if (record.announcement.standing == traffic::Standing::kGone) {
+      others_.Withdraw(record.announcement.target, SteadyNow());
+    } else if (!record.is_silent) {
+      others_.Announce(record.announcement, SteadyNow());
     }
-    loop_.Spawn([this, peer] {
-      traffic::WatchQuery query;
-      query.version = node_.configuration().version();
-      const auto result = links_.Call(peer, "control.watch",
-                                      traffic::ToJson(query), kLearnPatience);
-      const auto* json = std::get_if<boost::json::value>(&result);
-      if (json == nullptr) {
-        links_.DropIdle(peer);
-        return;
-      }
-      const auto answer = traffic::WatchAnswerFromJson(*json);
-      if (!answer.has_value()) {
-        return;
-      }
-      for (const traffic::TargetRecord& record : answer->targets) {
-        if (record.announcement.standing == traffic::Standing::kGone) {
-          others_.Withdraw(record.announcement.target, SteadyNow());
-        } else if (!record.is_silent) {
-          others_.Announce(record.announcement, SteadyNow());
-        }
-      }
-    });
   }
 }
 
@@ -110,21 +119,35 @@
              : &*found->second.engine;
 }
 
+// Several targets may have told of one place: one that ended without a word,
+// and its successor. The one of the newest epoch, heard last, counts.
 void GroupKeeper::CollectRanks() {
   const std::initializer_list<const traffic::TargetBook*> books = {
       &others_, &node_.targets()};
+  std::map<std::pair<GroupId, std::uint32_t>, const traffic::TargetRecord*>
+      latest;
   for (const traffic::TargetBook* book : books) {
     for (const auto& [target, record] : book->records()) {
-      if (record.announcement.group.has_value() && !record.is_silent &&
-          record.announcement.standing != traffic::Standing::kGone) {
-        Tend(target, record.announcement);
+      const auto& place = record.announcement.group;
+      if (!place.has_value() ||
+          record.announcement.standing == traffic::Standing::kGone) {
+        continue;
+      }
+      const traffic::TargetRecord*& known = latest[{place->group, place->rank}];
+      const auto age_of = [](const traffic::TargetRecord& item) {
+        return std::pair(item.announcement.group->epoch, item.heard_at);
+      };
+      if (known == nullptr || age_of(*known) < age_of(record)) {
+        known = &record;
       }
     }
   }
+  for (const auto& [place, record] : latest) {
+    Tend(record->announcement);
+  }
 }
 
-void GroupKeeper::Tend(const TargetId&,
-                       const traffic::TargetAnnouncement& told) {
+void GroupKeeper::Tend(const traffic::TargetAnnouncement& told) {
   const traffic::GroupMembership& place = *told.group;
   const traffic::EngineModel* engine = EngineOf(told.service);
   const auto endpoint = net::ParseEndpoint(told.address);
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -103,10 +103,19 @@
   void Start();
 
  private:
+  // What this node has read of another's targets.
+  struct Mark {
+    std::uint64_t boot = 0;
+    std::uint64_t revision = 0;
+  };
+
   void Run();
   void CollectRanks();
-  void Tend(const TargetId& target, const traffic::TargetAnnouncement& told);
+  void Tend(const traffic::TargetAnnouncement& told);
+  // Targets announce themselves to any control node, and whichever leads next
+  // needs all of them at once; so each node reads what the others know.
   void LearnFromMembers();
+  void LearnFrom(const net::Endpoint& peer);
   const traffic::EngineModel* EngineOf(const ServiceId& service);
 
   net::NetworkLoop& loop_;
@@ -122,6 +131,8 @@
   // Their fibers may still run.
   std::vector<std::unique_ptr<GroupTask>> ended_;
   traffic::TargetBook others_;
+  std::map<net::Endpoint, Mark> marks_;
+  bool was_leader_ = false;
   std::uint64_t read_version_ = 0;
   std::map<ServiceId, traffic::Service> services_;
   Term term_;
