--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t kMostLateHolds = 8;
 constexpr Duration kShortestStep = Milliseconds(1);
-constexpr Duration kLongestStep = Milliseconds(200);
+constexpr Duration kLongestStep = Milliseconds(1000);
 
 bool SameOrder(const EngineOrder& left, const EngineOrder& right) {
   if (left.index() != right.index()) {
@@ -90,7 +90,13 @@
 }
 
 void StepSwitch::OnStep(GroupEpoch epoch, StepNumber step, TimePoint as_of) {
-  if (epoch != epoch_ || step <= seen_step_) {
+  if (epoch != epoch_ || step < seen_step_ || as_of < checked_at_) {
+    return;
+  }
+  checked_at_ = as_of;
+  if (step == seen_step_) {
+    // A step that is still running is at least as long as that.
+    step_time_ = std::clamp(as_of - seen_at_, step_time_, kLongestStep);
     return;
   }
   const auto steps =
@@ -132,6 +138,7 @@
   version_ = MapVersion(0);
   target_.reset();
   seen_step_ = StepNumber(0);
+  checked_at_ = TimePoint{};
   trusted_from_ = std::max(trusted_from_, now);
   Enter(SwitchPhase::kObserving, now);
 }
@@ -227,7 +234,7 @@
 }
 
 void StepSwitch::ChooseStep(TimePoint now) {
-  const Duration since = now - seen_at_ + options_.lead;
+  const Duration since = now - checked_at_ + options_.lead;
   const double ahead = ToSeconds(since) / ToSeconds(step_time_);
   constexpr double kLeastSteps = 1.0;
   const double steps = std::ceil(ahead + kLeastSteps) *
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -140,7 +140,8 @@
   std::string why_;
   // For the pace of steps.
   StepNumber seen_step_;
-  TimePoint seen_at_;
+  TimePoint seen_at_;     // when it was first seen
+  TimePoint checked_at_;  // when it was last seen
   Duration step_time_ = Milliseconds(15);
 };
 
--- a/src/libs/placement/bounded_plan.cc
+++ b/src/libs/placement/bounded_plan.cc
@@ -10,13 +10,6 @@
 
 namespace {
 
-// How many times as long as with even ranks the layer lasts.
-double ImbalanceOf(const LayerSearch& search, double total, std::size_t ranks) {
-  return total <= 0.0
-             ? 1.0
-             : search.layer_time() * static_cast<double>(ranks) / total;
-}
-
 double TotalOf(const ExpertLoads& loads, LayerIndex layer) {
   double total = 0.0;
   for (std::uint32_t e = 0; e < loads.experts(); ++e) {
@@ -38,6 +31,7 @@
         added_in_all_(added_in_all),
         added_(options.ranks, 0),
         ranks_(options.ranks, {1.0, options.places, true}),
+        speed_(SetSpeeds()),
         search_(map, loads, ranks_, no_rules_, layer) {
     for (std::uint32_t i = 0; i < options.ranks; ++i) {
       CloseIfFull(i);
@@ -45,7 +39,7 @@
   }
 
   double imbalance() const {
-    return ImbalanceOf(search_, total_, ranks_.size());
+    return total_ <= 0.0 ? 1.0 : search_.layer_time() * speed_ / total_;
   }
 
   void Improve() {
@@ -68,6 +62,18 @@
   const std::vector<std::uint32_t>& added() const { return added_; }
 
  private:
+  // Before the search reads them; returns their sum.
+  double SetSpeeds() {
+    double sum = 0.0;
+    for (std::size_t i = 0; i < ranks_.size(); ++i) {
+      if (i < options_.speeds.size()) {
+        ranks_[i].speed = options_.speeds[i];
+      }
+      sum += ranks_[i].speed;
+    }
+    return sum;
+  }
+
   // A full rank takes part no more; a move brings a rank one expert.
   void CloseIfFull(std::uint32_t rank) {
     if (added_[rank] >= options_.new_experts ||
@@ -81,6 +87,7 @@
   const std::vector<std::uint32_t>& added_in_all_;
   std::vector<std::uint32_t> added_;
   std::vector<RankCapacity> ranks_;
+  double speed_;
   OperatorRules no_rules_;
   LayerSearch search_;
   std::vector<CopyChange> changes_;
--- a/src/libs/placement/bounded_plan.h
+++ b/src/libs/placement/bounded_plan.h
@@ -20,6 +20,8 @@
   std::uint32_t ranks = 0;
   std::uint32_t places = 0;       // of one rank in one layer
   std::uint32_t new_experts = 0;  // of one rank in one layer, by one change
+  // Work per second of each rank, relative to a healthy one; empty: all 1.
+  std::vector<double> speeds;
   // Experts that a rank may take in by one change, all layers together: they
   // are copied one after the other, and the change waits for the last. Layers
   // that gain most go first.
@@ -31,8 +33,8 @@
 
 struct BoundedPlan {
   ExpertMap map;
-  // Sum over the layers of the most loaded rank's share, 1 where all ranks
-  // have the same.
+  // How much longer a layer lasts, on the mean of all, than with work that is
+  // spread by the ranks' speeds.
   double imbalance_before = 1.0;
   double imbalance_after = 1.0;
   std::uint32_t fetches = 0;
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -1,7 +1,6 @@
 #include "libs/traffic/target_pool.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace bilberryspool::traffic {
 
@@ -72,19 +71,33 @@
   });
 }
 
-double TargetPool::LoadOf(const Target& target, TimePoint now) const {
-  const Duration age = now - target.others_at;
-  double weight = 1.0;
-  if (age > options_.load_freshness) {
-    const Duration fading = options_.load_memory - options_.load_freshness;
-    weight = 1.0 - ToSeconds(age - options_.load_freshness) / ToSeconds(fading);
+bool TargetPool::IsFresh(const Target& target, TimePoint now) const {
+  return target.others_at != TimePoint{} &&
+         now - target.others_at <= options_.load_freshness;
+}
+
+double TargetPool::MeanOthers(const ServiceId& service, TimePoint now) const {
+  double sum = 0.0;
+  std::size_t count = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.announcement.service == service && IsFresh(target, now)) {
+      sum += target.others;
+      ++count;
+    }
   }
-  return target.in_flight + target.others * std::max(weight, 0.0);
+  return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
+double TargetPool::LoadOf(const Target& target,
+                          double mean_others,
+                          TimePoint now) const {
+  return target.in_flight +
+         (IsFresh(target, now) ? target.others : mean_others);
 }
 
-double TargetPool::CostOf(const Target& target, TimePoint now) {
+double TargetPool::CostOf(const Target& target, double load, TimePoint now) {
   const double slots = std::max<std::uint32_t>(target.announcement.slots, 1);
-  double cost = LoadOf(target, now) / slots;
+  double cost = load / slots;
   if (target.is_silent()) {
     cost += kSilentCost;
   }
@@ -104,6 +117,8 @@
   double best_cost = 0.0;
   bool is_known = false;
   bool has_full = false;
+  const double mean_others = MeanOthers(service, now);
+  double best_load = 0.0;
   for (auto& [id, target] : targets_) {
     const TargetAnnouncement& told = target.announcement;
     if (told.service != service || told.standing != Standing::kReady ||
@@ -112,14 +127,16 @@
     }
     is_known = true;
     const double most = options_.fullest * told.slots;
-    if (told.slots > 0 && LoadOf(target, now) >= most) {
+    const double load = LoadOf(target, mean_others, now);
+    if (told.slots > 0 && load >= most) {
       has_full = true;
       continue;
     }
-    const double cost = CostOf(target, now);
+    const double cost = CostOf(target, load, now);
     if (best == nullptr || cost < best_cost) {
       best = &target;
       best_cost = cost;
+      best_load = load;
     }
   }
   if (!is_known) {
@@ -130,9 +147,9 @@
   if (best == nullptr || (has_full && best_cost >= kRestingCost)) {
     return has_full ? NoChoice::kFull : NoChoice::kResting;
   }
-  const double load = LoadOf(*best, now);
   ++best->in_flight;
-  return Choice{best->announcement.target, best->announcement.address, load,
+  return Choice{best->announcement.target, best->announcement.address,
+                best_load,
                 best->announcement.slots};
 }
 
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -30,13 +30,12 @@
   // further failure in a row, while there are others.
   Duration first_rest = Milliseconds(250);
   Duration longest_rest = Seconds(4);
-  // A reported load counts fully for this long, then less and less until it is
-  // forgotten after `load_memory`.
-  Duration load_freshness = Milliseconds(300);
-  Duration load_memory = Seconds(2);
+  // A reported load counts for this long; after that the mean of those that
+  // are still fresh stands for it.
+  Duration load_freshness = Milliseconds(1500);
   // Requests that may be at a target, as a multiple of its slots; beyond this
   // on every target a request is refused at once.
-  double fullest = 1.5;
+  double fullest = 1.0;
   // Records of targets that left are kept for this long: a control node that
   // was cut off may still tell of them.
   Duration memory = Seconds(120);
@@ -122,8 +121,12 @@
              const TargetRecord& record,
              TimePoint now);
   void Forget(TimePoint now);
-  double LoadOf(const Target& target, TimePoint now) const;
-  double CostOf(const Target& target, TimePoint now);
+  bool IsFresh(const Target& target, TimePoint now) const;
+  // Requests of others at a target of `service`, on the mean of those that
+  // told lately.
+  double MeanOthers(const ServiceId& service, TimePoint now) const;
+  double LoadOf(const Target& target, double mean_others, TimePoint now) const;
+  double CostOf(const Target& target, double load, TimePoint now);
 
   TargetPoolOptions options_;
   Random random_;
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -82,6 +82,8 @@
   std::map<RankIndex, net::Endpoint> addresses_;
   groups::StepSwitch switch_;
   placement::RecentLoads loads_;
+  // How many times as long as a healthy rank each one takes.
+  std::map<RankIndex, double> paces_;
   groups::SwitchPhase last_phase_ = groups::SwitchPhase::kObserving;
   TimePoint reports_due_;
   TimePoint picks_due_;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -31,6 +31,8 @@
 constexpr double kLeastWeight = 20'000.0;
 // A change must make the layers this much shorter.
 constexpr double kLeastGain = 0.12;
+// A rank is not taken for faster than a healthy one.
+constexpr double kLeastPace = 1.0;
 constexpr Duration kPlanInterval = Milliseconds(50);
 
 // The map of a group that has just formed: experts in turn.
@@ -127,12 +129,22 @@
     }
     links_.DropIdle({engine.address, sidecar_port_});
     sidecar_rests_[engine.address] = SteadyNow() + kSidecarRest;
+    const auto* error = std::get_if<net::HttpError>(&result);
+    log_.Info("Sidecar lost; asking the engine directly for a while.",
+              {{"engine", engine.ToString()},
+               {"why", error != nullptr ? error->text
+                                        : "it does not reach the engine"}});
   }
   const TimePoint asked_directly = SteadyNow();
   auto result = client_.Send(engine, request, patience);
   auto* response = std::get_if<net::HttpResponse>(&result);
   if (response == nullptr) {
     client_.DropIdle(engine);
+    log_.Info("An engine does not answer.",
+              {{"engine", engine.ToString()},
+               {"call", request.target},
+               {"why", std::get<net::HttpError>(result).text},
+               {"waited_ms", (SteadyNow() - asked_directly).count() / 1000}});
     return {};
   }
   return {response->head.status, std::move(response->body),
@@ -195,6 +207,7 @@
           Ask(endpoint, protocol_.report_request(), kReportPatience);
       const auto report = protocol_.read_report(answer.body);
       if (report.has_value()) {
+        paces_[rank] = report->pace;
         switch_.OnReport(rank, *report, answer.as_of);
         Pump();
       }
@@ -264,6 +277,10 @@
   options.ranks = ranks_;
   options.places = engine_.expert_places;
   options.new_experts = engine_.new_experts;
+  options.speeds.assign(ranks_, 1.0);
+  for (const auto& [rank, pace] : paces_) {
+    options.speeds[rank.value()] = 1.0 / std::max(pace, kLeastPace);
+  }
   const placement::BoundedPlan plan =
       placement::PlanBounded(*switch_.map(), loads_.loads(), options);
   const double gain = 1.0 - plan.imbalance_after / plan.imbalance_before;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -25,7 +25,6 @@
 
 // Where nothing else tells when a place will be free.
 constexpr Duration kComeBack = Milliseconds(1000);
-constexpr Duration kComeBackFull = Milliseconds(500);
 
 // A request whose caller names no time and whose route is unknown yet.
 constexpr Duration kDefaultPatience = Seconds(8);
@@ -279,10 +278,10 @@
       Refuse(kComeBack, "no target");
       return;
     case traffic::NoChoice::kFull:
-      Refuse(kComeBackFull, "all targets full");
+      Refuse(ComeBackLater(), "all targets full");
       return;
     case traffic::NoChoice::kResting:
-      Refuse(kComeBack, "all targets failed lately");
+      Refuse(ComeBackLater(), "all targets failed lately");
       return;
   }
 }
@@ -299,7 +298,7 @@
       Finish("target_failed", why);
       return;
     case RelayStep::kRefuse:
-      Refuse(kComeBackFull, why);
+      Refuse(ComeBackLater(), why);
       return;
     case RelayStep::kFailInTime:
       Fail(kGatewayTimeout, why);
@@ -311,6 +310,20 @@
   }
 }
 
+// Callers come back once and honour up to a third of their time. What refuses
+// them now, a group that forms anew or a queue that drains, takes seconds, so
+// they are asked to use most of that third.
+Duration RelayCall::ComeBackLater() {
+  constexpr double kEarliest = 0.2;
+  constexpr double kLatest = 0.32;
+  const double share =
+      kEarliest + (kLatest - kEarliest) * state_.random.Fraction();
+  const double left = ToSeconds(head_.patience.value_or(kDefaultPatience));
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return Microseconds(
+      static_cast<std::int64_t>(left * share * kMicrosecondsPerSecond));
+}
+
 void RelayCall::Refuse(Duration come_back, std::string_view why) {
   net::HttpResponseHead head;
   head.status = kUnavailable;
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -52,6 +52,7 @@
                         net::HttpClientStream& stream);
   void AnswerNoTarget(traffic::NoChoice why);
   void AnswerStep(traffic::RelayStep step, const std::string& why);
+  Duration ComeBackLater();
   void Refuse(Duration come_back, std::string_view why);
   void Fail(int status, std::string_view why);
   void Finish(std::string_view outcome, std::string_view why);
