--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -84,6 +84,8 @@
   placement::RecentLoads loads_;
   // How many times as long as a healthy rank each one takes.
   std::map<RankIndex, double> paces_;
+  // Requests that run or wait there.
+  std::map<RankIndex, std::uint32_t> loads_at_;
   groups::SwitchPhase last_phase_ = groups::SwitchPhase::kObserving;
   TimePoint reports_due_;
   TimePoint picks_due_;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -29,8 +29,17 @@
 constexpr std::uint32_t kSampledRanks = 3;
 // Below this many counts the shares of rare experts are noise.
 constexpr double kLeastWeight = 20'000.0;
-// A change must make the layers this much shorter.
-constexpr double kLeastGain = 0.12;
+// How much a change must shorten the layers, and down to which imbalance a
+// layer is worth copies. While engines have room a longer step makes nobody
+// late, so only what is far off is mended: copies are dear.
+struct Ambition {
+  double least_gain;
+  double good_enough;
+};
+constexpr Ambition kBusyAmbition{0.12, 1.08};
+constexpr Ambition kCalmAmbition{0.2, 1.25};
+// Requests at a rank, on the mean, as a share of its slots.
+constexpr double kBusyShare = 0.6;
 // A rank is not taken for faster than a healthy one.
 constexpr double kLeastPace = 1.0;
 constexpr Duration kPlanInterval = Milliseconds(50);
@@ -208,6 +217,7 @@
       const auto report = protocol_.read_report(answer.body);
       if (report.has_value()) {
         paces_[rank] = report->pace;
+        loads_at_[rank] = report->running + report->waiting;
         switch_.OnReport(rank, *report, answer.as_of);
         Pump();
       }
@@ -277,6 +287,13 @@
   options.ranks = ranks_;
   options.places = engine_.expert_places;
   options.new_experts = engine_.new_experts;
+  double requests = 0.0;
+  for (const auto& [rank, count] : loads_at_) {
+    requests += count;
+  }
+  const bool is_busy = requests > kBusyShare * engine_.slots * ranks_;
+  const Ambition& ambition = is_busy ? kBusyAmbition : kCalmAmbition;
+  options.good_enough = ambition.good_enough;
   options.speeds.assign(ranks_, 1.0);
   for (const auto& [rank, pace] : paces_) {
     options.speeds[rank.value()] = 1.0 / std::max(pace, kLeastPace);
@@ -284,7 +301,7 @@
   const placement::BoundedPlan plan =
       placement::PlanBounded(*switch_.map(), loads_.loads(), options);
   const double gain = 1.0 - plan.imbalance_after / plan.imbalance_before;
-  if (gain < kLeastGain) {
+  if (gain < ambition.least_gain) {
     return;
   }
   constexpr double kPercent = 100.0;
