--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -128,7 +128,7 @@
     is_known = true;
     const double most = options_.fullest * told.slots;
     const double load = LoadOf(target, mean_others, now);
-    if (told.slots > 0 && load >= most) {
+    if (now < target.full_until || (told.slots > 0 && load >= most)) {
       has_full = true;
       continue;
     }
@@ -168,10 +168,7 @@
       target.rests_until = TimePoint{};
       return;
     case TargetOutcome::kFull:
-      // Its slots and its queue are taken, whatever was thought before.
-      target.others = std::max(
-          target.others, options_.fullest * target.announcement.slots);
-      target.others_at = now;
+      target.full_until = now + options_.full_rest;
       return;
     case TargetOutcome::kReplaced:
       target.announcement.standing = Standing::kGone;
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -33,9 +33,12 @@
   // A reported load counts for this long; after that the mean of those that
   // are still fresh stands for it.
   Duration load_freshness = Milliseconds(1500);
+  // A target that refused as full is asked for nothing more for this long: a
+  // batch lets a place go every few steps.
+  Duration full_rest = Milliseconds(200);
   // Requests that may be at a target, as a multiple of its slots; beyond this
   // on every target a request is refused at once.
-  double fullest = 1.0;
+  double fullest = 1.25;
   // Records of targets that left are kept for this long: a control node that
   // was cut off may still tell of them.
   Duration memory = Seconds(120);
@@ -112,6 +115,7 @@
     TimePoint others_at;
     std::uint32_t failures_in_row = 0;
     TimePoint rests_until;
+    TimePoint full_until;
     TimePoint changed_at;
 
     bool is_silent() const;
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -24,8 +24,9 @@
 // hundreds of kilobytes.
 constexpr control::SnapshotPolicy kSnapshots{32, 2ULL * 1024 * 1024};
 constexpr std::size_t kRetainedEntries = 4;
-constexpr Duration kElectionTimeoutMin = Milliseconds(700);
-constexpr Duration kElectionTimeoutMax = Milliseconds(1200);
+constexpr Duration kElectionTimeoutMin = Milliseconds(500);
+constexpr Duration kElectionTimeoutMax = Milliseconds(900);
+constexpr Duration kHeartbeatInterval = Milliseconds(150);
 constexpr Duration kHelloInterval = Milliseconds(200);
 
 NodeId NameOf(const settings::SocketAddress& address) {
@@ -71,6 +72,7 @@
   consensus::ReplicaOptions options;
   options.election_timeout_min = kElectionTimeoutMin;
   options.election_timeout_max = kElectionTimeoutMax;
+  options.heartbeat_interval = kHeartbeatInterval;
   options.hello_interval = kHelloInterval;
   options.retained_entries = kRetainedEntries;
   for (const settings::SocketAddress& seed : settings_.seeds) {
