Send slow ranks the fewest requests

Cause: a rank that runs five times slower holds its group by its own requests too. The leader measures it by reports; gateways did not know.

--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -12,6 +12,10 @@
 constexpr double kRestingCost = 10.0;
 // Another failure domain costs little: a hop more, and bytes between domains.
 constexpr double kOtherDomainCost = 0.02;
+// For each time that a target is slower than a healthy one; a group steps as
+// slowly as its slowest rank's own requests, so that one gets the fewest.
+constexpr double kSlowCost = 0.3;
+constexpr double kMostSlowCost = 0.9;
 // Breaks ties differently on each gateway, so that they don't all choose the
 // same target.
 constexpr double kJitter = 0.03;
@@ -71,6 +75,22 @@
   });
 }
 
+void TargetPool::SetSlow(const std::string& source,
+                         std::map<std::string, double> by_address) {
+  slow_[source] = std::move(by_address);
+}
+
+double TargetPool::PaceOf(const Target& target) const {
+  double slowest = 1.0;
+  for (const auto& [source, by_address] : slow_) {
+    const auto found = by_address.find(target.announcement.address);
+    if (found != by_address.end()) {
+      slowest = std::max(slowest, found->second);
+    }
+  }
+  return slowest;
+}
+
 bool TargetPool::IsFresh(const Target& target, TimePoint now) const {
   return target.others_at != TimePoint{} &&
          now - target.others_at <= options_.load_freshness;
@@ -104,6 +124,7 @@
   if (now < target.rests_until) {
     cost += kRestingCost;
   }
+  cost += std::min(kSlowCost * (PaceOf(target) - 1.0), kMostSlowCost);
   if (target.announcement.domain != options_.domain) {
     cost += kOtherDomainCost;
   }
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -81,6 +81,11 @@
               const std::vector<TargetRecord>& records,
               TimePoint now);
 
+  // The targets that `source` has found slow, by address, with how many times
+  // as long as a healthy one they take.
+  void SetSlow(const std::string& source,
+               std::map<std::string, double> by_address);
+
   // A target of `service` for one more request, not one of `tried`. It counts
   // as sent there from now on: each Choice is followed by one OnEnded().
   ChoiceOutcome Choose(const ServiceId& service,
@@ -125,6 +130,7 @@
              const TargetRecord& record,
              TimePoint now);
   void Forget(TimePoint now);
+  double PaceOf(const Target& target) const;
   bool IsFresh(const Target& target, TimePoint now) const;
   // Requests of others at a target of `service`, on the mean of those that
   // told lately.
@@ -135,6 +141,7 @@
   TargetPoolOptions options_;
   Random random_;
   std::map<TargetId, Target> targets_;
+  std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
 }  // namespace bilberryspool::traffic
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -15,6 +15,7 @@
                       {"revision", query.revision},
                       {"version", query.version},
                       {"was_leader", query.was_leader},
+                      {"slow_revision", query.slow_revision},
                       {"wait_us", query.wait.count()}};
 }
 
@@ -27,10 +28,16 @@
   for (const std::string& member : answer.members) {
     members.emplace_back(member);
   }
+  json::object slow;
+  for (const auto& [address, pace] : answer.slow_targets) {
+    slow[address] = pace;
+  }
   json::object object{{"boot", answer.boot},
                       {"revision", answer.revision},
                       {"version", answer.version},
                       {"leader", answer.is_leader},
+                      {"slow_revision", answer.slow_revision},
+                      {"slow", std::move(slow)},
                       {"whole", answer.is_whole},
                       {"targets", std::move(targets)},
                       {"members", std::move(members)}};
@@ -49,11 +56,13 @@
   const auto revision = Number(*object, "revision");
   const auto version = Number(*object, "version");
   const auto was_leader = Flag(*object, "was_leader");
+  const auto slow_revision = Number(*object, "slow_revision");
   const auto wait = Number(*object, "wait_us");
-  if (!boot || !revision || !version || !was_leader || !wait) {
+  if (!boot || !revision || !version || !was_leader || !slow_revision ||
+      !wait) {
     return std::nullopt;
   }
-  return WatchQuery{*boot, *revision, *version, *was_leader,
+  return WatchQuery{*boot, *revision, *version, *was_leader, *slow_revision,
                     Microseconds(static_cast<std::int64_t>(*wait))};
 }
 
@@ -67,14 +76,30 @@
   const auto version = Number(*object, "version");
   const auto is_leader = Flag(*object, "leader");
   const auto is_whole = Flag(*object, "whole");
+  const auto slow_revision = Number(*object, "slow_revision");
   const json::array* targets = List(*object, "targets");
   const json::array* members = List(*object, "members");
+  const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !is_leader || !is_whole ||
-      targets == nullptr || members == nullptr) {
+      !slow_revision || targets == nullptr || members == nullptr ||
+      slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
-  WatchAnswer answer{*boot,     *revision, *version, *is_leader,
-                     *is_whole, {},        {},       Text(*object, "configuration")};
+  WatchAnswer answer;
+  answer.boot = *boot;
+  answer.revision = *revision;
+  answer.version = *version;
+  answer.is_leader = *is_leader;
+  answer.slow_revision = *slow_revision;
+  answer.is_whole = *is_whole;
+  answer.configuration = Text(*object, "configuration");
+  for (const auto& item : slow->get_object()) {
+    const auto pace = Decimal(slow->get_object(), item.key());
+    if (!pace.has_value()) {
+      return std::nullopt;
+    }
+    answer.slow_targets[std::string(item.key())] = *pace;
+  }
   for (const json::value& item : *targets) {
     auto record = TargetRecordFromJson(item);
     if (!record.has_value()) {
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
   std::uint64_t revision = 0;  // of the targets
   std::uint64_t version = 0;   // of the configuration
   bool was_leader = false;
+  std::uint64_t slow_revision = 0;  // of the slow targets
   Duration wait{};
 };
 
@@ -33,11 +35,15 @@
   std::uint64_t version = 0;
   // The node leads, so that no newer configuration was accepted before.
   bool is_leader = false;
+  std::uint64_t slow_revision = 0;
   // All targets that the node knows, not only what changed.
   bool is_whole = false;
   std::vector<TargetRecord> targets;
   // Addresses of the control nodes.
   std::vector<std::string> members;
+  // How many times as long as healthy ones targets take, by address; those that
+  // the leader has found slow.
+  std::map<std::string, double> slow_targets;
   // Only where it is newer than the gateway's.
   std::optional<std::string> configuration;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -271,6 +271,21 @@
   Spread(targets_.records().at(target));
 }
 
+void ControlNode::SetSlowTargets(std::map<std::string, double> by_address) {
+  if (by_address == slow_targets_) {
+    return;
+  }
+  slow_targets_ = std::move(by_address);
+  ++slow_revision_;
+  constexpr double kPercent = 100.0;
+  for (const auto& [address, pace] : slow_targets_) {
+    log_.Info("A target is slow.",
+              {{"address", address},
+               {"percent", static_cast<int>(pace * kPercent)}});
+  }
+  changed_.NotifyAll();
+}
+
 // A target that was told that its leaving is known must get no new work, also
 // where this node dies the moment after. So the others are told beside the
 // gateways; they need not answer, since a cut would hold up the target.
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -5,6 +5,7 @@
 #define PLUGINS_CONTROL_NODE_CONTROL_NODE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,6 +61,14 @@
   void Announce(const traffic::TargetAnnouncement& announcement);
   void Withdraw(const TargetId& target);
 
+  // The targets that this node, as the leader, has found slow, by address,
+  // with how many times as long as healthy ones they take.
+  void SetSlowTargets(std::map<std::string, double> by_address);
+  const std::map<std::string, double>& slow_targets() const {
+    return slow_targets_;
+  }
+  std::uint64_t slow_revision() const { return slow_revision_; }
+
   const config::NumberedConfiguration& configuration() const {
     return configuration_;
   }
@@ -94,6 +103,8 @@
   telemetry::Logger log_;
   config::NumberedConfiguration configuration_;
   traffic::TargetBook targets_;
+  std::map<std::string, double> slow_targets_;
+  std::uint64_t slow_revision_ = 0;
   net::FiberSignal changed_;
   std::uint64_t boot_;
   ReplicaHost replica_;
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -61,11 +61,15 @@
         ended_.push_back(std::move(task));
       }
       tasks_.clear();
+      node_.SetSlowTargets({});
       continue;
     }
+    std::map<std::string, double> slow;
     for (auto& [group, task] : tasks_) {
       task->Tick();
+      task->AddSlow(slow);
     }
+    node_.SetSlowTargets(std::move(slow));
   }
 }
 
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -46,6 +46,9 @@
   // To be called often; starts what is due.
   void Tick();
   std::uint32_t ranks() const { return ranks_; }
+  // Adds the ranks that are slow, by address, with how many times as long as
+  // a healthy one they take.
+  void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
   // An answer of an engine, and how fresh it is.
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -1,6 +1,7 @@
 // GroupTask: one group's reports, counts, plans and orders.
 
 #include <algorithm>
+#include <cmath>
 
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
@@ -42,6 +43,8 @@
 constexpr double kBusyShare = 0.6;
 // A rank is not taken for faster than a healthy one.
 constexpr double kLeastPace = 1.0;
+// From here on gateways are told.
+constexpr double kSlowPace = 1.4;
 constexpr Duration kPlanInterval = Milliseconds(50);
 
 // The map of a group that has just formed: experts in turn.
@@ -242,6 +245,15 @@
   }
 }
 
+void GroupTask::AddSlow(std::map<std::string, double>& by_address) const {
+  for (const auto& [rank, pace] : paces_) {
+    if (pace > kSlowPace) {
+      // In steps of a half, so that a small change is no news.
+      by_address[addresses_.at(rank).ToString()] = std::round(pace * 2.0) / 2.0;
+    }
+  }
+}
+
 // Whoever takes a group over has to learn what the map in use holds.
 void GroupTask::ReadMap() {
   const auto version = switch_.unread_version();
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -27,7 +27,8 @@
   const auto has_news = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
            node_.configuration().version() > query->version ||
-           query->was_leader != node_.replica().is_leader();
+           query->was_leader != node_.replica().is_leader() ||
+           query->slow_revision != node_.slow_revision();
   };
   const TimePoint deadline =
       SteadyNow() + std::min(query->wait, traffic::kLongestWatch);
@@ -38,6 +39,8 @@
   answer.boot = node_.boot();
   answer.revision = node_.targets().revision();
   answer.is_leader = node_.replica().is_leader();
+  answer.slow_revision = node_.slow_revision();
+  answer.slow_targets = node_.slow_targets();
   answer.is_whole = !knows_this_boot;
   answer.targets = node_.targets().ChangedSince(revision);
   for (const net::Endpoint& member : node_.replica().FindMembers()) {
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -66,6 +66,7 @@
       continue;
     }
     reachable_.erase(node->endpoint);
+    state_.targets.SetSlow(node->endpoint.ToString(), {});
     const bool is_forgotten = SteadyNow() - node->heard_at > kNodeMemory &&
                               members_.count(node->endpoint) == 0 &&
                               !reachable_.empty();
@@ -86,6 +87,7 @@
   query.version =
       state_.routes == nullptr ? 0 : state_.routes->configuration().version;
   query.was_leader = node.is_leader;
+  query.slow_revision = node.slow_revision;
   query.wait = traffic::kLongestWatch;
   const auto result = client_.Call(node.endpoint, "control.watch",
                                    traffic::ToJson(query), kWatchPatience);
@@ -109,10 +111,12 @@
   node.boot = answer.boot;
   node.revision = answer.revision;
   node.is_leader = answer.is_leader;
+  node.slow_revision = answer.slow_revision;
   node.heard_at = now;
   AdoptConfiguration(answer);
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole,
                         answer.targets, now);
+  state_.targets.SetSlow(node.endpoint.ToString(), answer.slow_targets);
   if (answer.is_leader && answer.version > 0) {
     has_heard_leader_ = true;
   }
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -39,6 +39,7 @@
     std::uint64_t boot = 0;
     std::uint64_t revision = 0;
     bool is_leader = false;
+    std::uint64_t slow_revision = 0;
     bool is_reachable = false;
     TimePoint heard_at;
   };
