Refuse request heads that another reader could take for another request

Cause: an unknown transfer coding was read as no body and answered 200, a missing Host and two of them went on to routing (404), folded lines were joined.

Now: 501 for any coding but chunked, 400 for no Host, two, or a folded line; the connection ends.

--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -16,11 +16,7 @@
 
 namespace {
 
-// What a rejected request is told.
-struct Rejection {
-  int status;
-  std::string_view text;
-};
+using Rejection = ServerConnection::Rejection;
 
 Rejection ToRejection(const boost::system::error_code& error) {
   if (error == http::error::header_limit) {
@@ -35,6 +31,44 @@
   return {400, "malformed request\n"};
 }
 
+std::string_view TextOf(const boost::beast::flat_buffer& buffer) {
+  const auto data = buffer.cdata();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
+// Past the empty line that ends the head, or npos.
+std::size_t EndOfHead(std::string_view text) {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  const std::size_t found = text.find(kEnd);
+  return found == std::string_view::npos ? found : found + kEnd.size();
+}
+
+// A line that goes on with the value of the one before. The parser would join
+// the two; a target that reads them as two fields would see another request
+// than was checked here.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
+// What makes a request ambiguous for whoever reads it next; nothing where it
+// is fit. (RFC 9112, sections 3.2 and 6.1.)
+std::optional<Rejection> FindAmbiguity(const http::fields& fields,
+                                       unsigned version) {
+  constexpr unsigned kHttp11 = 11;
+  const auto hosts = fields.count(http::field::host);
+  if (hosts > 1 || (hosts == 0 && version >= kHttp11)) {
+    return Rejection{400, "exactly one Host is needed\n"};
+  }
+  const auto coding = fields.find(http::field::transfer_encoding);
+  if (coding != fields.end() &&
+      (fields.count(http::field::transfer_encoding) > 1 ||
+       !EqualNames(std::string(coding->value()), "chunked"))) {
+    return Rejection{501, "unknown transfer encoding\n"};
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(tcp::socket socket,
@@ -90,12 +124,22 @@
       static_cast<std::uint32_t>(state_->options.max_header_bytes));
   parser.body_limit(state_->options.max_body_bytes);
   stream_.expires_after(state_->options.request_timeout);
+  if (const auto error = ReadHead()) {
+    return RejectBadRequest(*error);
+  }
+  if (HasFoldedLine(TextOf(buffer_).substr(0, EndOfHead(TextOf(buffer_))))) {
+    return Reject({400, "folded header line\n"});
+  }
   const IoOutcome header = Await([&](auto handler) {
     http::async_read_header(stream_, buffer_, parser, handler);
   });
   if (header.error) {
     return RejectBadRequest(header.error);
   }
+  if (const auto rejection =
+          FindAmbiguity(parser.get(), parser.get().version())) {
+    return Reject(*rejection);
+  }
   if (EqualNames(std::string(parser.get()[http::field::expect]),
                  "100-continue")) {
     http::response<http::empty_body> go_on(http::status::continue_, 11);
@@ -116,20 +160,40 @@
   return ReadOutcome::kRequest;
 }
 
+// Until the whole head is in the buffer, so that it can be looked at as it
+// came.
+std::optional<boost::system::error_code> ServerConnection::ReadHead() {
+  constexpr std::size_t kRead = 4096;
+  while (EndOfHead(TextOf(buffer_)) == std::string_view::npos) {
+    if (buffer_.size() > state_->options.max_header_bytes) {
+      return http::make_error_code(http::error::header_limit);
+    }
+    const IoOutcome outcome = Await([&](auto handler) {
+      stream_.async_read_some(buffer_.prepare(kRead), handler);
+    });
+    if (outcome.error) {
+      return outcome.error;
+    }
+    buffer_.commit(outcome.bytes);
+  }
+  return std::nullopt;
+}
+
 ServerConnection::ReadOutcome ServerConnection::RejectBadRequest(
     const boost::system::error_code& error) {
   const HttpErrorKind kind = ToHttpError(error).kind;
   const bool is_gone =
       kind == HttpErrorKind::kClosed || kind == HttpErrorKind::kCancelled;
-  if (is_gone) {
-    return ReadOutcome::kClosed;
-  }
+  return is_gone ? ReadOutcome::kClosed : Reject(ToRejection(error));
+}
+
+ServerConnection::ReadOutcome ServerConnection::Reject(
+    const Rejection& rejection) {
   ++state_->counts.bad_requests;
   keep_alive_ = false;
   if (!stream_.socket().is_open()) {
     return ReadOutcome::kRejected;
   }
-  const Rejection rejection = ToRejection(error);
   ServerExchange exchange(*this, HttpRequest{});
   HttpResponseHead head;
   head.status = rejection.status;
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "libs/net/http_server.h"
 
@@ -27,6 +28,12 @@
 // answer each. Pipelined requests wait in the buffer.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
+  // What a request that is not served is told.
+  struct Rejection {
+    int status;
+    std::string_view text;
+  };
+
   ServerConnection(boost::asio::ip::tcp::socket socket,
                    std::shared_ptr<ServerState> state);
 
@@ -42,6 +49,8 @@
   enum class ReadOutcome { kRequest, kClosed, kRejected };
 
   ReadOutcome ReadRequest(HttpRequest& request);
+  std::optional<boost::system::error_code> ReadHead();
+  ReadOutcome Reject(const Rejection& rejection);
   ReadOutcome RejectBadRequest(const boost::system::error_code& error);
   bool WaitForFirstByte();
   // Returns whether the connection stays open for another request.
