--- a/src/libs/links/link_client.cc
+++ b/src/libs/links/link_client.cc
@@ -18,6 +18,7 @@
 net::HttpClientOptions MakeClientOptions() {
   net::HttpClientOptions options;
   options.idle_timeout = kClientIdleTimeout;
+  options.connect_timeout = kConnectTimeout;
   return options;
 }
 
--- a/src/libs/links/link_timeouts.h
+++ b/src/libs/links/link_timeouts.h
@@ -7,6 +7,9 @@
 
 namespace bilberryspool::links {
 
+// The first packet to a VM that is just starting is dropped and sent again by
+// the kernel only after a second; trying anew is sooner.
+inline constexpr Duration kConnectTimeout = Milliseconds(400);
 // The client lets go well before the server does: a request that meets a
 // connection just closed by its server may have run, for all the client knows.
 inline constexpr Duration kClientIdleTimeout = Seconds(5);
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -367,8 +367,13 @@
   return std::max(give_up_at_ - SteadyNow(), Duration::zero());
 }
 
+// A target that has begun to send events and stops without closing is dead, cut
+// off, or its connection has gone silent. Callers leave after two seconds
+// without an event; going on elsewhere before that saves the stream.
 Duration RelayCall::patience() const {
-  return std::max(time_left(), Milliseconds(1));
+  constexpr Duration kLongestSilence = Milliseconds(1600);
+  const Duration left = std::max(time_left(), Milliseconds(1));
+  return has_begun_ ? std::min(left, kLongestSilence) : left;
 }
 
 // Runs on the loop's dispatcher, which must not be suspended.
