Test routes, relay rules, targets, plans, codecs and numbered configurations

Table tests with bad input for each codec of platform/ and of the watch, and the failures that each rule is there for. No rule was changed for them.

--- /dev/null
+++ b/tests/auto/config/numbered_configuration_test.cc
@@ -0,0 +1,50 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "libs/config/numbered_configuration.h"
+
+namespace bilberryspool::config {
+namespace {
+
+// Symptom: of two operators' changes the older one is in force, or another
+// text under a number that was acknowledged. Cause: the order of arrival
+// decided.
+TEST_CASE("the highest number wins in any order of arrival") {
+  std::vector<std::string> commands = {
+      NumberedConfiguration::Propose(3, "three"),
+      NumberedConfiguration::Propose(7, "seven"),
+      NumberedConfiguration::Propose(5, "five"),
+      NumberedConfiguration::Propose(2, "two\nlines")};
+  std::sort(commands.begin(), commands.end());
+  do {
+    NumberedConfiguration state;
+    for (const std::string& command : commands) {
+      state.Apply(command);
+    }
+    CHECK(state.version() == 7);
+    CHECK(state.text() == "seven");
+    CHECK_FALSE(state.Apply(NumberedConfiguration::Propose(7, "other")));
+    CHECK(state.text() == "seven");
+  } while (std::next_permutation(commands.begin(), commands.end()));
+}
+
+TEST_CASE("the state survives a snapshot, and bad bytes change nothing") {
+  NumberedConfiguration state;
+  CHECK(state.Apply(NumberedConfiguration::Propose(4, "a\nb")));
+  NumberedConfiguration copy;
+  CHECK(copy.Import(state.Export()));
+  CHECK(copy.version() == 4);
+  CHECK(copy.text() == "a\nb");
+  for (const char* bytes : {"", "4", "x\ntext", "-1\ntext", "5 \ntext"}) {
+    CAPTURE(bytes);
+    CHECK_FALSE(copy.Import(bytes));
+    CHECK_FALSE(copy.Apply(bytes));
+    CHECK(copy.version() == 4);
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::config
--- a/tests/auto/groups/step_switch_test.cc
+++ b/tests/auto/groups/step_switch_test.cc
@@ -45,46 +45,46 @@
     }
     Engine& engine = engines_[order.rank.value()];
     return std::visit(
-        Overloaded{
-            [&](const PrepareMap& prepare) {
-              if (engine.prepared == prepare.version && !engine.armed) {
-                return OrderAnswer::kDone;
-              }
-              if (engine.armed || prepare.version <= engine.highest) {
-                return OrderAnswer::kRefused;
-              }
-              engine.highest = prepare.version;
-              engine.prepared = prepare.version;
-              return OrderAnswer::kDone;
-            },
-            [&](const ArmMap& arm) {
-              if (arm.step <= step_ || engine.prepared != arm.version) {
-                return OrderAnswer::kRefused;
-              }
-              engine.armed = {arm.version, arm.step};
-              return OrderAnswer::kDone;
-            },
-            [&](const DisarmMap& disarm) {
-              if (engine.armed && engine.armed->version == disarm.version) {
-                engine.armed.reset();
-              }
-              return engine.map == disarm.version ? OrderAnswer::kRefused
-                                                  : OrderAnswer::kDone;
-            },
-            [&](const HoldStep& hold) {
-              if (hold.step <= step_ ||
-                  (engine.held && *engine.held != hold.step)) {
-                return OrderAnswer::kRefused;
-              }
-              engine.held = hold.step;
-              return OrderAnswer::kDone;
-            },
-            [&](const ReleaseStep& release) {
-              if (engine.held == release.step) {
-                engine.held.reset();
-              }
-              return OrderAnswer::kDone;
-            }},
+        Overloaded{[&](const PrepareMap& prepare) {
+                     if (engine.prepared == prepare.version && !engine.armed) {
+                       return OrderAnswer::kDone;
+                     }
+                     if (engine.armed || prepare.version <= engine.highest) {
+                       return OrderAnswer::kRefused;
+                     }
+                     engine.highest = prepare.version;
+                     engine.prepared = prepare.version;
+                     return OrderAnswer::kDone;
+                   },
+                   [&](const ArmMap& arm) {
+                     if (arm.step <= step_ || engine.prepared != arm.version) {
+                       return OrderAnswer::kRefused;
+                     }
+                     engine.armed = {arm.version, arm.step};
+                     return OrderAnswer::kDone;
+                   },
+                   [&](const DisarmMap& disarm) {
+                     if (engine.armed &&
+                         engine.armed->version == disarm.version) {
+                       engine.armed.reset();
+                     }
+                     return engine.map == disarm.version ? OrderAnswer::kRefused
+                                                         : OrderAnswer::kDone;
+                   },
+                   [&](const HoldStep& hold) {
+                     if (hold.step <= step_ ||
+                         (engine.held && *engine.held != hold.step)) {
+                       return OrderAnswer::kRefused;
+                     }
+                     engine.held = hold.step;
+                     return OrderAnswer::kDone;
+                   },
+                   [&](const ReleaseStep& release) {
+                     if (engine.held == release.step) {
+                       engine.held.reset();
+                     }
+                     return OrderAnswer::kDone;
+                   }},
         order.order);
   }
 
@@ -146,8 +146,8 @@
 
 struct Chances {
   const char* name;
-  double lost = 0.0;  // carried out at once, not answered
-  double late = 0.0;  // not answered, carried out 2 to 12 s later
+  double lost = 0.0;      // carried out at once, not answered
+  double late = 0.0;      // not answered, carried out 2 to 12 s later
   double takeover = 0.0;  // of another owner, at each turn
   double reform = 0.0;
 };
@@ -223,16 +223,15 @@
 
   void Send(const RankOrder& order) {
     if (random_.Chance(chances_.late)) {
-      late_.push_back(
-          {now_ + random_.Between(Seconds(2), Seconds(12)), order});
+      late_.push_back({now_ + random_.Between(Seconds(2), Seconds(12)), order});
       owner_->OnAnswer(order, OrderAnswer::kUnanswered, now_);
       return;
     }
     const OrderAnswer answer = group_.Obey(order);
-    owner_->OnAnswer(order,
-                     random_.Chance(chances_.lost) ? OrderAnswer::kUnanswered
-                                                   : answer,
-                     now_);
+    owner_->OnAnswer(
+        order,
+        random_.Chance(chances_.lost) ? OrderAnswer::kUnanswered : answer,
+        now_);
   }
 
   void CarryOutLate() {
--- /dev/null
+++ b/tests/auto/placement/bounded_plan_test.cc
@@ -0,0 +1,147 @@
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <vector>
+
+#include "libs/base/random.h"
+#include "libs/placement/bounded_plan.h"
+#include "libs/placement/recent_loads.h"
+
+namespace bilberryspool::placement {
+namespace {
+
+constexpr std::uint32_t kLayers = 4;
+constexpr std::uint32_t kExperts = 64;
+constexpr std::uint32_t kRanks = 16;
+
+ExpertMap InTurn() {
+  ExpertMap map(kLayers, kExperts);
+  for (std::uint32_t layer = 0; layer < kLayers; ++layer) {
+    for (std::uint32_t e = 0; e < kExperts; ++e) {
+      map.Add({LayerIndex(layer), ExpertIndex(e)}, RankIndex(e % kRanks));
+    }
+  }
+  return map;
+}
+
+// One expert of each layer has a fifth of the work, the rest falls off.
+ExpertLoads Skewed(std::uint64_t seed) {
+  Random random(seed);
+  ExpertLoads loads(kLayers, kExperts);
+  for (std::uint32_t layer = 0; layer < kLayers; ++layer) {
+    const auto hot = static_cast<std::uint32_t>(random.Below(kExperts));
+    for (std::uint32_t e = 0; e < kExperts; ++e) {
+      const double place = 1.0 + (e + kExperts - hot) % kExperts;
+      loads[{LayerIndex(layer), ExpertIndex(e)}] = 1000.0 / place;
+    }
+  }
+  return loads;
+}
+
+BoundedPlanOptions MakeOptions() {
+  BoundedPlanOptions options;
+  options.ranks = kRanks;
+  options.places = 5;
+  options.new_experts = 2;
+  options.new_experts_in_all = 3;
+  return options;
+}
+
+TEST_CASE("a plan keeps the engines' bounds and gains") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    const ExpertMap before = InTurn();
+    const BoundedPlan plan = PlanBounded(before, Skewed(seed), MakeOptions());
+    CHECK(plan.map.Orphans().empty());
+    CHECK(plan.imbalance_before > 2.0);
+    CHECK(plan.imbalance_after < 0.6 * plan.imbalance_before);
+    std::uint32_t fetches = 0;
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+      std::uint32_t added_in_all = 0;
+      for (std::uint32_t layer = 0; layer < kLayers; ++layer) {
+        const auto held = plan.map.HeldBy(RankIndex(rank), LayerIndex(layer));
+        CHECK(held.size() <= 5);
+        std::uint32_t added = 0;
+        for (const ExpertIndex expert : held) {
+          added += before.Holds(RankIndex(rank), {LayerIndex(layer), expert})
+                       ? 0
+                       : 1;
+        }
+        CHECK(added <= 2);
+        added_in_all += added;
+      }
+      CHECK(added_in_all <= 3);
+      fetches += added_in_all;
+    }
+    CHECK(fetches <= plan.fetches);
+  }
+}
+
+TEST_CASE("several changes bring a layer near to even, then nothing moves") {
+  ExpertMap map = InTurn();
+  const ExpertLoads loads = Skewed(3);
+  double imbalance = 0.0;
+  for (int i = 0; i < 6; ++i) {
+    const BoundedPlan plan = PlanBounded(map, loads, MakeOptions());
+    imbalance = plan.imbalance_after;
+    map = plan.map;
+  }
+  CHECK(imbalance < 1.15);
+}
+
+// Symptom: one rank that runs slower holds its whole group. Cause: it had as
+// much of the experts' work as the others.
+TEST_CASE("a slow rank gets less of the work") {
+  BoundedPlanOptions options = MakeOptions();
+  options.speeds.assign(kRanks, 1.0);
+  options.speeds[5] = 0.25;
+  ExpertLoads even(kLayers, kExperts);
+  for (double& load : even.values()) {
+    load = 100.0;
+  }
+  const BoundedPlan plan = PlanBounded(InTurn(), even, options);
+  CHECK(plan.imbalance_before > 3.5);
+  CHECK(plan.imbalance_after < 0.7 * plan.imbalance_before);
+}
+
+std::vector<std::uint64_t> Counters(std::uint64_t first, std::uint64_t second) {
+  return {first, second};
+}
+
+RecentLoadsOptions SmallOptions() {
+  RecentLoadsOptions options;
+  options.layers = 1;
+  options.experts = 2;
+  return options;
+}
+
+// Symptom: after what is in demand has changed, the map fits neither before nor
+// after. Cause: the loads were a mean over both.
+TEST_CASE("a change of demand ends the memory of what was before") {
+  RecentLoads recent(SmallOptions());
+  const RankIndex rank(0);
+  const TimePoint start = TimeAt(Seconds(10));
+  recent.Observe(rank, Counters(0, 0), start);
+  recent.Observe(rank, Counters(90'000, 10'000), start + Milliseconds(100));
+  CHECK(recent.loads().values()[0] > 80'000.0);
+  recent.Observe(rank, Counters(91'000, 59'000), start + Milliseconds(200));
+  CHECK(recent.loads().values()[0] == doctest::Approx(1'000.0));
+  CHECK(recent.loads().values()[1] == doctest::Approx(49'000.0));
+}
+
+TEST_CASE("a restarted rank and a reading of another size change nothing") {
+  RecentLoads recent(SmallOptions());
+  const RankIndex rank(0);
+  const TimePoint start = TimeAt(Seconds(10));
+  recent.Observe(rank, Counters(0, 0), start);
+  recent.Observe(rank, Counters(50'000, 50'000), start);
+  recent.Observe(rank, Counters(10, 10), start);
+  CHECK(recent.weight() == doctest::Approx(100'000.0));
+  recent.Observe(rank, {1, 2, 3}, start);
+  CHECK(recent.weight() == doctest::Approx(100'000.0));
+  recent.Observe(rank, Counters(1'010, 10), start);
+  CHECK(recent.weight() == doctest::Approx(101'000.0));
+}
+
+}  // namespace
+}  // namespace bilberryspool::placement
--- /dev/null
+++ b/tests/auto/platform/configuration_codec_test.cc
@@ -0,0 +1,107 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+
+#include "platform/configuration_codec.h"
+
+namespace bilberryspool::platform {
+namespace {
+
+constexpr char kWhole[] =
+    R"({"version":7,"routes":[
+        {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming",
+         "timeout_ms":8000,"target_latency_ms":400,"priority":1,
+         "traffic_split":[{"service":"s","weight":90},
+                          {"service":"t","weight":10}],
+         "attempts":2,"allow_anonymous":true,"sticky_sessions":true,
+         "resume_streams":true,"target_gap_ms":120},
+        {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe",
+         "timeout_ms":2000,"service":"t"}],
+       "services":[{"name":"s","health_path":"/health","max_connections":358,
+         "engine":{"slots":12,"stride":6,"step_ms":4.84,"per_seq_ms":0.362,
+                   "read_per_s":74800.0,"sets":4,"experts":64,"places":5,
+                   "spare":2}},
+        {"name":"t"}],
+       "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+                 "header_timeout_ms":3000,"idle_timeout_ms":15000},
+       "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
+
+TEST_CASE("a whole configuration is read") {
+  const auto read = ReadConfiguration(kWhole);
+  REQUIRE(std::holds_alternative<traffic::TrafficConfiguration>(read));
+  const auto& whole = std::get<traffic::TrafficConfiguration>(read);
+  CHECK(whole.version == 7);
+  REQUIRE(whole.routes.size() == 2);
+  const traffic::Route& route = whole.routes[0];
+  CHECK(route.kind == traffic::RequestKind::kStream);
+  CHECK(route.timeout == Seconds(8));
+  CHECK(route.objective == Milliseconds(400));
+  CHECK(route.longest_gap == Milliseconds(120));
+  CHECK(route.attempts == 2);
+  CHECK(route.priority == 1);
+  CHECK(route.allows_anonymous);
+  CHECK(route.may_resume);
+  CHECK(route.splits == std::vector<traffic::Split>{{ServiceId("s"), 90},
+                                                    {ServiceId("t"), 10}});
+  CHECK(whole.routes[1].kind == traffic::RequestKind::kNonIdempotent);
+  CHECK(whole.routes[1].attempts == 1);
+  const traffic::Service& service = whole.services.at(ServiceId("s"));
+  REQUIRE(service.engine.has_value());
+  CHECK(service.engine->step == Microseconds(4840));
+  CHECK(service.engine->expert_layers == 4);
+  CHECK(service.engine->new_experts == 2);
+  CHECK_FALSE(whole.services.at(ServiceId("t")).engine.has_value());
+  CHECK(whole.keys.at("k2").workspace == Workspace("w"));
+  CHECK(whole.bounds.idle_timeout == Seconds(15));
+  CHECK_FALSE(traffic::FindFault(whole).has_value());
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kWhole;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+// Symptom: a configuration that can't be meant is in force everywhere.
+TEST_CASE("what can't be read in full, or contradicts itself, is refused") {
+  const std::string whole = kWhole;
+  const std::string rows[] = {
+      "",
+      whole.substr(0, whole.size() / 2),
+      whole + "x",
+      "[]",
+      "{}",
+      Replaced("\"version\":7", "\"version\":\"7\""),
+      Replaced("\"version\":7", "\"version\":-7"),
+      Replaced("\"version\":7", "\"version\":0"),
+      Replaced("\"timeout_ms\":8000", "\"timeout_ms\":0"),
+      Replaced("\"timeout_ms\":8000", "\"timeout_ms\":\"8000\""),
+      Replaced("\"weight\":90},",
+               "\"weight\":0},"
+               "{\"service\":\"none\",\"weight\":1},"),
+      Replaced("\"service\":\"t\"}],", "\"service\":\"none\"}],"),
+      Replaced("\"/b/\"", "\"/a/\""),
+      Replaced("\"attempts\":2", "\"attempts\":\"two\""),
+      Replaced("[\"k1\",\"k2\"],\"priority\":1}",
+               "[\"k1\"]},{\"name\":\"v\",\"api_keys\":[\"k1\"]}"),
+      Replaced("\"tenants\":[", "\"tenants\":3,\"x\":["),
+  };
+  for (const std::string& row : rows) {
+    CAPTURE(row);
+    const auto read = ReadConfiguration(row);
+    const auto* configuration =
+        std::get_if<traffic::TrafficConfiguration>(&read);
+    const bool is_refused = configuration == nullptr ||
+                            traffic::FindFault(*configuration).has_value();
+    CHECK(is_refused);
+  }
+}
+
+TEST_CASE("fields that are not known are ignored") {
+  CHECK(std::holds_alternative<traffic::TrafficConfiguration>(
+      ReadConfiguration(Replaced("\"version\":7", "\"version\":7,\"new\":1"))));
+}
+
+}  // namespace
+}  // namespace bilberryspool::platform
--- /dev/null
+++ b/tests/auto/traffic/codecs_test.cc
@@ -0,0 +1,105 @@
+// What control nodes and gateways tell each other, there and back, and bad
+// input.
+
+#include <doctest/doctest.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <string>
+
+#include "libs/traffic/target_codec.h"
+#include "libs/traffic/watch_codec.h"
+
+namespace bilberryspool::traffic {
+namespace {
+
+namespace json = boost::json;
+
+TargetRecord MakeRecord() {
+  TargetRecord record;
+  record.announcement.target = TargetId("i-1");
+  record.announcement.service = ServiceId("model");
+  record.announcement.address = "10.0.0.1:80";
+  record.announcement.domain = FailureDomain("z1");
+  record.announcement.slots = 12;
+  record.announcement.standing = Standing::kLeaving;
+  record.announcement.sequence = 7;
+  record.announcement.group = GroupMembership{GroupId("g"), 2, 3, 16, true};
+  record.is_silent = true;
+  return record;
+}
+
+WatchAnswer MakeAnswer() {
+  WatchAnswer answer;
+  answer.boot = 5;
+  answer.revision = 6;
+  answer.version = 7;
+  answer.is_leader = true;
+  answer.slow_revision = 8;
+  answer.is_whole = true;
+  answer.targets = {MakeRecord()};
+  answer.members = {"10.0.0.2:7000"};
+  answer.slow_targets = {{"10.0.0.1:80", 2.5}};
+  answer.configuration = "{\"version\":7}";
+  return answer;
+}
+
+TEST_CASE("a watch and its answer survive the way") {
+  const WatchQuery query{1, 2, 3, true, 4, Milliseconds(900)};
+  const auto asked = WatchQueryFromJson(ToJson(query));
+  REQUIRE(asked.has_value());
+  CHECK(asked->boot == 1);
+  CHECK(asked->revision == 2);
+  CHECK(asked->version == 3);
+  CHECK(asked->was_leader);
+  CHECK(asked->slow_revision == 4);
+  CHECK(asked->wait == Milliseconds(900));
+
+  const auto answered =
+      WatchAnswerFromJson(json::parse(json::serialize(ToJson(MakeAnswer()))));
+  REQUIRE(answered.has_value());
+  CHECK(answered->boot == 5);
+  CHECK(answered->revision == 6);
+  CHECK(answered->version == 7);
+  CHECK(answered->is_leader);
+  CHECK(answered->is_whole);
+  REQUIRE(answered->targets.size() == 1);
+  CHECK(answered->targets[0].announcement == MakeRecord().announcement);
+  CHECK(answered->targets[0].is_silent);
+  CHECK(answered->members == MakeAnswer().members);
+  CHECK(answered->slow_targets == MakeAnswer().slow_targets);
+  CHECK(answered->configuration == MakeAnswer().configuration);
+}
+
+TEST_CASE("an answer that lacks a member is not read") {
+  const json::object whole = ToJson(MakeAnswer()).as_object();
+  for (const auto& member : whole) {
+    if (member.key() == "configuration") {
+      continue;
+    }
+    CAPTURE(std::string(member.key()));
+    json::object broken = whole;
+    broken.erase(member.key());
+    CHECK_FALSE(WatchAnswerFromJson(broken).has_value());
+  }
+}
+
+TEST_CASE("bad input is refused") {
+  const char* const rows[] = {
+      "null", "[]", "{}",
+      R"({"boot":-1,"revision":0,"version":0,"was_leader":true,"wait_us":0})",
+      R"({"boot":"1","revision":0,"version":0,"was_leader":1,"wait_us":0})"};
+  for (const char* row : rows) {
+    CAPTURE(row);
+    CHECK_FALSE(WatchQueryFromJson(json::parse(row)).has_value());
+    CHECK_FALSE(WatchAnswerFromJson(json::parse(row)).has_value());
+    CHECK_FALSE(TargetRecordFromJson(json::parse(row)).has_value());
+  }
+  json::object record = ToJson(MakeRecord()).as_object();
+  record["standing"] = 9;
+  CHECK_FALSE(TargetRecordFromJson(record).has_value());
+}
+
+}  // namespace
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/tests/auto/traffic/route_table_test.cc
@@ -0,0 +1,128 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "libs/traffic/route_table.h"
+
+namespace bilberryspool::traffic {
+namespace {
+
+Route MakeRoute(const std::string& name, const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = "h.example";
+  route.path_prefix = prefix;
+  route.timeout = Seconds(8);
+  route.splits = {{ServiceId("model"), 1}};
+  route.priority = 3;
+  return route;
+}
+
+TrafficConfiguration MakeConfiguration() {
+  TrafficConfiguration whole;
+  whole.version = 1;
+  whole.services[ServiceId("model")].id = ServiceId("model");
+  whole.services[ServiceId("plain")].id = ServiceId("plain");
+  whole.routes = {MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/"),
+                  MakeRoute("open", "/open/")};
+  whole.routes[2].allows_anonymous = true;
+  whole.has_workspaces = true;
+  whole.keys["key-1"] = {Workspace("w1"), 1U};
+  whole.keys["key-2"] = {Workspace("w2"), std::nullopt};
+  return whole;
+}
+
+std::string Describe(const RouteOutcome& outcome) {
+  if (std::holds_alternative<NoRoute>(outcome)) {
+    return "no route";
+  }
+  if (std::holds_alternative<KeyUnknown>(outcome)) {
+    return "key unknown";
+  }
+  const auto& match = std::get<RouteMatch>(outcome);
+  return match.route->name + " " +
+         (match.holder == nullptr ? "anonymous"
+                                  : match.holder->workspace.value()) +
+         " " + std::to_string(match.priority);
+}
+
+TEST_CASE("a request finds the longest prefix, and its workspace") {
+  const RouteTable table(
+      std::make_shared<const TrafficConfiguration>(MakeConfiguration()));
+  struct Row {
+    const char* host;
+    const char* path;
+    const char* key;
+    const char* expected;
+  };
+  const Row rows[] = {
+      {"h.example", "/a/x", "key-1", "short w1 1"},
+      {"h.example", "/a/b/x", "key-1", "long w1 1"},
+      {"h.example", "/a/b/", "key-2", "long w2 3"},
+      {"h.example", "/a/bc", "key-2", "short w2 3"},
+      {"h.example", "/a", "key-1", "no route"},
+      {"h.example", "/", "key-1", "no route"},
+      {"h.example", "", "key-1", "no route"},
+      {"other.example", "/a/x", "key-1", "no route"},
+      {"h.example", "/a/x", "", "key unknown"},
+      {"h.example", "/a/x", "key-3", "key unknown"},
+      {"h.example", "/open/x", "", "open anonymous 3"},
+      {"h.example", "/open/x", "key-1", "open w1 1"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.path);
+    CAPTURE(row.key);
+    CHECK(Describe(table.Match(row.host, row.path, row.key)) == row.expected);
+  }
+}
+
+TEST_CASE("splits are followed by weight") {
+  Route route = MakeRoute("r", "/r/");
+  route.splits = {{ServiceId("model"), 90}, {ServiceId("plain"), 10}};
+  CHECK(ChooseService(route, 0.0) == ServiceId("model"));
+  CHECK(ChooseService(route, 0.89) == ServiceId("model"));
+  CHECK(ChooseService(route, 0.91) == ServiceId("plain"));
+  CHECK(ChooseService(route, 0.9999) == ServiceId("plain"));
+}
+
+TEST_CASE("what is wrong with a configuration as a whole is found") {
+  struct Row {
+    const char* name;
+    void (*spoil)(TrafficConfiguration& whole);
+    bool is_valid;
+  };
+  const Row rows[] = {
+      {"as it is", [](TrafficConfiguration&) {}, true},
+      {"no version", [](TrafficConfiguration& w) { w.version = 0; }, false},
+      {"unknown service",
+       [](TrafficConfiguration& w) {
+         w.routes[0].splits = {{ServiceId("none"), 1}};
+       },
+       false},
+      {"no weight",
+       [](TrafficConfiguration& w) { w.routes[0].splits[0].weight = 0; },
+       false},
+      {"no timeout",
+       [](TrafficConfiguration& w) { w.routes[1].timeout = Duration(0); },
+       false},
+      {"one place twice",
+       [](TrafficConfiguration& w) { w.routes[1].path_prefix = "/a/"; }, false},
+      {"one prefix at two hosts",
+       [](TrafficConfiguration& w) {
+         w.routes[1].path_prefix = "/a/";
+         w.routes[1].host = "i.example";
+       },
+       true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    TrafficConfiguration whole = MakeConfiguration();
+    row.spoil(whole);
+    CHECK(FindFault(whole).has_value() == !row.is_valid);
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -0,0 +1,145 @@
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <variant>
+
+#include "libs/traffic/target_pool.h"
+
+namespace bilberryspool::traffic {
+namespace {
+
+const ServiceId kService("model");
+constexpr TimePoint kStart = TimeAt(Seconds(50));
+
+TargetRecord Record(const std::string& target,
+                    Standing standing = Standing::kReady,
+                    std::uint64_t sequence = 1) {
+  TargetRecord record;
+  record.announcement.target = TargetId(target);
+  record.announcement.service = kService;
+  record.announcement.address = target + ":80";
+  record.announcement.domain = FailureDomain("z1");
+  record.announcement.slots = 4;
+  record.announcement.standing = standing;
+  record.announcement.sequence = sequence;
+  return record;
+}
+
+TargetPool MakePool() {
+  TargetPoolOptions options;
+  options.domain = FailureDomain("z1");
+  return {options, 7};
+}
+
+std::string Chosen(TargetPool& pool,
+                   TimePoint now,
+                   const std::set<TargetId>& tried = {}) {
+  const auto outcome = pool.Choose(kService, tried, now);
+  if (const auto* choice = std::get_if<Choice>(&outcome)) {
+    return choice->target.value();
+  }
+  switch (std::get<NoChoice>(outcome)) {
+    case NoChoice::kNone:
+      return "none";
+    case NoChoice::kFull:
+      return "full";
+    case NoChoice::kResting:
+      return "resting";
+  }
+  return "";
+}
+
+TEST_CASE("requests spread over the targets, up to a bound") {
+  TargetPool pool = MakePool();
+  CHECK(Chosen(pool, kStart) == "none");
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 10; ++i) {
+    ++counts[Chosen(pool, kStart)];
+  }
+  CHECK(counts["a"] == 5);
+  CHECK(counts["b"] == 5);
+  CHECK(Chosen(pool, kStart) == "full");
+}
+
+// Symptom: a target that leaves gets new work. Sequence: one control node
+// knows, another still tells of the target as ready. Cause: the words of the
+// two were not joined.
+TEST_CASE("leaving is final, whoever tells of it") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a", Standing::kLeaving, 4)}, kStart);
+  pool.Update("c2", true, {Record("a", Standing::kReady, 3)}, kStart);
+  CHECK(Chosen(pool, kStart) == "none");
+  pool.Update("c2", false, {Record("a", Standing::kReady, 5)}, kStart);
+  CHECK(Chosen(pool, kStart) == "none");
+}
+
+TEST_CASE("a silent target comes last, and only where all say so") {
+  TargetPool pool = MakePool();
+  TargetRecord silent = Record("a");
+  silent.is_silent = true;
+  pool.Update("c1", true, {silent, Record("b")}, kStart);
+  CHECK(Chosen(pool, kStart) == "b");
+  CHECK(Chosen(pool, kStart, {TargetId("b")}) == "a");
+  // Heard by another control node: its load decides.
+  pool.Update("c2", true, {Record("a")}, kStart);
+  for (int i = 0; i < 3; ++i) {
+    pool.OnEnded(TargetId("a"), TargetOutcome::kGood, kStart);
+  }
+  CHECK(Chosen(pool, kStart) == "a");
+}
+
+TEST_CASE("a target that failed rests, longer each time, while others are") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.OnEnded(TargetId("a"), TargetOutcome::kFailed, kStart);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(Chosen(pool, kStart) == "b");
+  }
+  CHECK(Chosen(pool, kStart + Milliseconds(260)) == "a");
+  pool.OnEnded(TargetId("a"), TargetOutcome::kFailed,
+               kStart + Milliseconds(260));
+  CHECK(Chosen(pool, kStart + Milliseconds(600)) == "b");
+  // The first success ends that.
+  pool.OnEnded(TargetId("a"), TargetOutcome::kGood, kStart + Seconds(1));
+  CHECK(Chosen(pool, kStart + Seconds(1)) == "a");
+}
+
+// Symptom: seconds after a group has opened again its targets are still
+// refused for. Sequence: all targets refuse as full for a while. Cause: the
+// refusals were counted as load that only answers could take back.
+TEST_CASE("a refusal as full counts for a moment") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a")}, kStart);
+  CHECK(Chosen(pool, kStart) == "a");
+  pool.OnEnded(TargetId("a"), TargetOutcome::kFull, kStart);
+  CHECK(Chosen(pool, kStart) == "full");
+  CHECK(Chosen(pool, kStart + Milliseconds(250)) == "a");
+}
+
+TEST_CASE("another target at the address is not used under the old name") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a")}, kStart);
+  CHECK(pool.IsUsable(TargetId("a")));
+  pool.OnEnded(TargetId("a"), TargetOutcome::kReplaced, kStart);
+  CHECK_FALSE(pool.IsUsable(TargetId("a")));
+  CHECK(Chosen(pool, kStart) == "none");
+}
+
+TEST_CASE("slow targets and loaded ones get less") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.SetSlow("c1", {{"a:80", 4.0}});
+  for (int i = 0; i < 3; ++i) {
+    CHECK(Chosen(pool, kStart) == "b");
+  }
+  pool.SetSlow("c1", {});
+  CHECK(Chosen(pool, kStart) == "a");
+  pool.OnLoad(TargetId("b"), 3, 0, kStart);
+  pool.OnLoad(TargetId("a"), 4, 2, kStart);
+  CHECK(Chosen(pool, kStart) == "b");
+}
+
+}  // namespace
+}  // namespace bilberryspool::traffic
