--- /dev/null
+++ b/tests/processes/platform/platform_standin.cc
@@ -0,0 +1,192 @@
+// Targets as the users' platform has them, for tests: they announce themselves
+// to control nodes, refuse what was meant for another, sign their answers and
+// stream events that can be resumed. Each counts the runs of each request id.
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/net/http_client.h"
+#include "libs/net/http_server.h"
+#include "libs/net/network_loop.h"
+
+DEFINE_string(listen, "127.0.0.1", "IP number of all targets");
+DEFINE_int32(first_port, 0, "port of the first target; the others follow");
+DEFINE_int32(count, 2, "targets");
+DEFINE_string(service, "model", "their service");
+DEFINE_string(control, "", "control nodes, IP:PORT, separated by commas");
+DEFINE_int32(event_ms, 20, "pause between the events of a stream");
+
+namespace bilberryspool {
+namespace {
+
+constexpr int kEvents = 20;
+constexpr Duration kBeatInterval = Milliseconds(300);
+
+std::vector<net::Endpoint> ReadEndpoints(const std::string& text) {
+  std::vector<net::Endpoint> endpoints;
+  std::size_t start = 0;
+  while (start <= text.size()) {
+    const std::size_t comma = std::min(text.find(',', start), text.size());
+    if (auto one = net::ParseEndpoint(text.substr(start, comma - start))) {
+      endpoints.push_back(*one);
+    }
+    start = comma + 1;
+  }
+  return endpoints;
+}
+
+class Target {
+ public:
+  Target(net::NetworkLoop& loop, int number)
+      : loop_(loop),
+        id_("i-" + std::to_string(number)),
+        endpoint_{FLAGS_listen, static_cast<std::uint16_t>(FLAGS_first_port +
+                                                           number)},
+        control_(ReadEndpoints(FLAGS_control)),
+        client_(loop, net::HttpClientOptions{}),
+        server_(loop, Options(endpoint_), [this](net::HttpExchange& exchange) {
+          Handle(exchange);
+        }) {}
+
+  std::string Start() {
+    loop_.Spawn([this] { Beat(); });
+    return server_.Start();
+  }
+
+ private:
+  static net::HttpServerOptions Options(const net::Endpoint& endpoint) {
+    net::HttpServerOptions options;
+    options.listen = endpoint;
+    return options;
+  }
+
+  void Beat() {
+    std::size_t at = 0;
+    while (true) {
+      net::HttpRequest request;
+      request.method = "PUT";
+      request.target = "/instances/" + id_;
+      request.body = R"({"service":")" + FLAGS_service + R"(","address":")" +
+                     endpoint_.ToString() +
+                     R"(","zone":"z1","slots":8,"state":")" + state_ +
+                     R"(","sequence":)" + std::to_string(++sequence_) + "}";
+      const auto result = client_.Send(control_[at % control_.size()], request,
+                                       Milliseconds(1000));
+      const auto* response = std::get_if<net::HttpResponse>(&result);
+      if (response == nullptr || response->head.status != 200) {
+        ++at;
+      }
+      loop_.SleepFor(kBeatInterval);
+    }
+  }
+
+  void Answer(net::HttpExchange& exchange,
+              int status,
+              const std::string& body) {
+    net::HttpResponseHead head;
+    head.status = status;
+    exchange.Respond(std::move(head), body);
+  }
+
+  net::HttpResponseHead SignedHead(const net::HttpRequest& request) {
+    net::HttpResponseHead head;
+    head.headers.Add("Bilberryspool-Response-Seal", "seal-of-" + id_);
+    head.headers.Add("Bilberryspool-Server-Load", "1,0,8");
+    head.headers.Add(
+        "Bilberryspool-Attempt-Id",
+        std::string(request.headers.ValueOr("Bilberryspool-Attempt-Id", "")));
+    return head;
+  }
+
+  void Handle(net::HttpExchange& exchange) {
+    const net::HttpRequest& request = exchange.request();
+    const std::string witness = "/witness/";
+    if (request.target.starts_with(witness)) {
+      Answer(exchange, 200,
+             std::to_string(runs_[request.target.substr(witness.size())]));
+      return;
+    }
+    if (request.target == "/drain") {
+      state_ = "draining";
+      Answer(exchange, 200, "");
+      return;
+    }
+    if (request.headers.ValueOr("Bilberryspool-Expect-Instance", id_) != id_) {
+      Answer(exchange, 421, "");
+      return;
+    }
+    Run(exchange);
+  }
+
+  void Run(net::HttpExchange& exchange) {
+    const net::HttpRequest& request = exchange.request();
+    ++runs_[std::string(
+        request.headers.ValueOr("Bilberryspool-Attempt-Id", "none"))];
+    if (request.headers.Find("Api-Key").has_value()) {
+      Answer(exchange, 500, "the key was passed on");
+      return;
+    }
+    if (request.target.find("/stream/") == std::string::npos) {
+      exchange.Respond(
+          SignedHead(request),
+          id_ + " " +
+              std::string(request.headers.ValueOr("Bilberryspool-Tenant", "")) +
+              " " + request.body);
+      return;
+    }
+    const std::string last(request.headers.ValueOr("Last-Event-Id", "0"));
+    net::HttpResponseHead head = SignedHead(request);
+    head.headers.Add("Content-Type", "text/event-stream");
+    exchange.BeginStream(std::move(head));
+    for (int event = std::stoi(last) + 1; event <= kEvents; ++event) {
+      loop_.SleepFor(Milliseconds(FLAGS_event_ms));
+      const std::string number = std::to_string(event);
+      if (!exchange.WritePiece("id: " + number + "\ndata: " + number +
+                               "\n\n")) {
+        return;
+      }
+    }
+    exchange.EndStream();
+  }
+
+  net::NetworkLoop& loop_;
+  std::string id_;
+  net::Endpoint endpoint_;
+  std::vector<net::Endpoint> control_;
+  std::string state_ = "ready";
+  int sequence_ = 0;
+  std::map<std::string, int> runs_;
+  net::HttpClient client_;
+  net::HttpServer server_;
+};
+
+int Run() {
+  net::NetworkLoop loop;
+  std::vector<std::unique_ptr<Target>> targets;
+  loop.Run([&] {
+    for (int i = 0; i < FLAGS_count; ++i) {
+      targets.push_back(std::make_unique<Target>(loop, i));
+      const std::string error = targets.back()->Start();
+      if (!error.empty()) {
+        std::cerr << error << "\n";
+        std::_Exit(1);
+      }
+    }
+    loop.OnStopSignal([] { std::_Exit(0); });
+    loop.WaitForStop();
+  });
+  return 0;
+}
+
+}  // namespace
+}  // namespace bilberryspool
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return bilberryspool::Run();
+}
--- /dev/null
+++ b/tests/processes/platform/platform_test.sh
@@ -0,0 +1,135 @@
+#!/usr/bin/env bash
+# The whole path on the users' platform with real processes: operators number a
+# configuration, targets announce themselves, callers are served by gateways;
+# then a target leaves, the leading control node is killed, a control node loses
+# its folder, and a gateway is stopped while it streams.
+. "$(dirname "$0")/../deployment.sh"
+
+GATEWAYS="1 2"
+CONTROLS="1 2 3"
+for i in $CONTROLS; do
+  cat > "$RUN/control-$i.toml" << T
+role = "control"
+deployment = "test-$$"
+node = "control-$i"
+failure_domain = "z$i"
+key_file = "$RUN/link.key"
+data_folder = "$RUN/data-$i"
+log.file = "-"
+operators.listen = "127.0.0.$i:${P}10"
+peers.listen = "127.0.0.$i:${P}20"
+metrics.listen = "127.0.0.$i:${P}30"
+control.seeds = ["127.0.0.1:${P}10", "127.0.0.2:${P}10", "127.0.0.3:${P}10"]
+control.first_start = ${FIRST_START:-true}
+announcements.interval_ms = 300
+drain.grace_s = 8
+T
+done
+for i in $GATEWAYS; do
+  cat > "$RUN/gateway-$i.toml" << T
+role = "gateway"
+deployment = "test-$$"
+node = "gateway-$i"
+failure_domain = "z1"
+key_file = "$RUN/link.key"
+log.file = "-"
+callers.listen = "127.0.0.1:${P}4$i"
+readiness.listen = "127.0.0.1:${P}5$i"
+metrics.listen = "127.0.0.1:${P}6$i"
+control.seeds = ["127.0.0.1:${P}10", "127.0.0.2:${P}10", "127.0.0.3:${P}10"]
+control.peers_port = ${P}20
+drain.grace_s = 8
+retries.ratio = 0.2
+retries.slack = 240
+retries.window_s = 10
+T
+done
+
+start_control() { start "control-$1" "$BIN/bilberryspool" control --settings="$RUN/control-$1.toml"; }
+start_gateway() { start "gateway-$1" "$BIN/bilberryspool" gateway --settings="$RUN/gateway-$1.toml"; }
+status() { curl -s -m 5 -o /dev/null -w '%{http_code}' "$@"; }
+is_serving() { [ "$(status "127.0.0.1:${P}5$1/ready")" = 200 ]; }
+put_config() { # NODE VERSION PREFIX
+  curl -s -m 5 -o /dev/null -w '%{http_code}' -X PUT "127.0.0.$1:${P}10/config" -d "{\"version\":$2,
+    \"routes\":[{\"name\":\"plain\",\"host\":\"h.example\",\"path_prefix\":\"/$3/\",\"kind\":\"unsafe\",\"timeout_ms\":4000,\"service\":\"model\"},
+      {\"name\":\"stream\",\"host\":\"h.example\",\"path_prefix\":\"/stream/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"service\":\"model\",\"attempts\":2,\"resume_streams\":true}],
+    \"services\":[{\"name\":\"model\"}],\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"k1\"]}]}"
+}
+call() { # GATEWAY PATH ID [FLAGS...]
+  local n="$1" path="$2" id="$3"
+  shift 3
+  curl -s -m 10 "127.0.0.1:${P}4$n$path" -H 'Host: h.example' -H "Api-Key: ${KEY:-k1}" \
+    -H "Bilberryspool-Attempt-Id: $id" -H 'Bilberryspool-Deadline-Ms: 8000' "$@"
+}
+is_accepted() { [ "$(put_config "$@")" = 200 ]; }
+leads() { curl -s -m 2 "127.0.0.$1:${P}30/metrics" | grep -q '^bilberryspool_leader 1'; }
+find_leader() { for i in $CONTROLS; do leads "$i" && LEADER="$i" && return 0; done; return 1; }
+holds_version() { curl -s -m 2 "127.0.0.$1:${P}10/config" | grep -q "\"version\":$2,"; }
+is_route() { [ "$(call "$1" "/$2/x" "probe-$SECONDS" -o /dev/null -w '%{http_code}')" = "${3:-200}" ]; }
+total_runs() { # ID
+  local sum=0 i
+  for i in 0 1; do sum=$((sum + $(curl -s -m 5 "127.0.0.9:$((${P}70 + i))/witness/$1"))); done
+  echo "$sum"
+}
+
+for i in $CONTROLS; do start_control "$i"; done
+for i in $GATEWAYS; do start_gateway "$i"; done
+start standin "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}70" --count=2 \
+  --control="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
+
+is_not_serving() { [ "$(status "127.0.0.1:${P}5$1/ready")" = 503 ]; }
+wait_until "gateway 1 says that it has no configuration" is_not_serving 1
+expect "a call without a configuration" 503 "$(call 1 /a/x early -o /dev/null -w '%{http_code}')"
+wait_until "the configuration is accepted" is_accepted 2 3 a
+for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
+
+expect "an invalid configuration" 400 "$(put_config 1 0 a)"
+expect "the number in force again" 200 "$(put_config 3 3 other)"
+wait_until "it changed nothing" holds_version 1 3
+wait_until "a call is served" is_route 1 a
+expect "the workspace and the body" "w1 order" "$(call 2 /a/x order-1 -d order | cut -d' ' -f2-)"
+expect "runs of the order" 1 "$(total_runs order-1)"
+expect "a route that does not exist" 404 "$(call 1 /none/x n -o /dev/null -w '%{http_code}')"
+expect "a key that nobody holds" 401 "$(KEY=other call 1 /a/x n -o /dev/null -w '%{http_code}')"
+
+# A target leaves: what is sent later goes to the other one.
+curl -s -m 5 -X POST "127.0.0.9:${P}70/drain" > /dev/null
+gone_from() { ! (for k in 1 2 3 4 5 6; do call "$1" /a/x "d-$k-$SECONDS"; echo; done | grep -q '^i-0'); }
+for i in $GATEWAYS; do wait_until "gateway $i sends to the other target only" gone_from "$i"; done
+
+# The leading control node is killed: callers notice nothing, operators go on.
+wait_until "a leader is found" find_leader
+OLD="$LEADER"
+kill_hard "control-$OLD"
+expect "a call while nobody leads" 200 "$(call 1 /a/x lead-1 -o /dev/null -w '%{http_code}')"
+OTHER=$((OLD % 3 + 1))
+wait_until "a change is accepted without it" is_accepted "$OTHER" 5 b
+for i in $GATEWAYS; do wait_until "gateway $i has the change" is_route "$i" b; done
+expect "the dropped route" 404 "$(call 1 /a/x n -o /dev/null -w '%{http_code}')"
+
+# It comes back with an empty folder and takes its own place again.
+rm -rf "$RUN/data-$OLD"
+sed -i 's/first_start = true/first_start = false/' "$RUN/control-$OLD.toml"
+start_control "$OLD"
+wait_until "the new folder holds the change" holds_version "$OLD" 5
+is_replaced() { grep -h 'Replacing a voter' "$RUN"/control-*.out | grep -q "new=127.0.0.$OLD:"; }
+wait_until "the new folder has the vote" is_replaced
+LAST=$((OTHER % 3 + 1))
+[ "$LAST" = "$OLD" ] && LAST=$((LAST % 3 + 1))
+sleep 2
+kill_hard "control-$LAST"
+wait_until "a change is accepted with the new folder and one other" is_accepted "$OTHER" 7 c
+
+# A planned stop of a gateway cuts nothing.
+wait_until "gateway 2 has the change" is_route 2 c
+call 2 /stream/x stream-1 > "$RUN/stream" &
+STREAM=$!
+sleep 0.1
+terminate gateway-2
+wait_until "the stopping gateway says so" is_not_serving 2
+wait "$STREAM"
+expect "the events of the stream" "20" "$(grep -c '^id: ' "$RUN/stream")"
+exit_code gateway-2
+expect "the exit code" 0 "$EXIT_CODE"
+grep -q 'id=order-1 outcome=served' "$RUN"/gateway-2.out || fail "no line tells of order-1"
+echo "passed"
