Count gateways for the retry budget, scale group work by ranks, let new folders learn who leads

Cause: an assumed 24 gateways is too few for 37 or 39 (the sum of shares would exceed the slack), and wastes most of it for 7; reports and copies were polled at a rate that 72 ranks times 0.15 of a core can't serve; a new folder greeted the seeds alone, none of which need lead.

--- a/src/libs/consensus/bootstrap.cc
+++ b/src/libs/consensus/bootstrap.cc
@@ -17,6 +17,13 @@
   peers_.assign(peers.begin(), peers.end());
 }
 
+void Bootstrap::AddPeers(const std::vector<NodeId>& peers) {
+  std::set<NodeId> all(peers_.begin(), peers_.end());
+  all.insert(peers.begin(), peers.end());
+  all.erase(self_.node);
+  peers_.assign(all.begin(), all.end());
+}
+
 std::vector<NodeId> Bootstrap::NodesToAsk(TimePoint now) {
   if (now < ask_at_) {
     return {};
--- a/src/libs/consensus/bootstrap.h
+++ b/src/libs/consensus/bootstrap.h
@@ -23,6 +23,7 @@
  public:
   Bootstrap(const ReplicaOptions& options, MemberId self);
 
+  void AddPeers(const std::vector<NodeId>& peers);
   // The nodes to greet now; empty where it is not time yet.
   std::vector<NodeId> NodesToAsk(TimePoint now);
   Hello MakeHello() const;
--- a/src/libs/consensus/replica.cc
+++ b/src/libs/consensus/replica.cc
@@ -179,6 +179,10 @@
   actions_.push_back(PersistSnapshot{ticket, std::move(snapshot), false});
 }
 
+void Replica::On(const PeersLearned& learned, TimePoint /*now*/) {
+  bootstrap_.AddPeers(learned.peers);
+}
+
 void Replica::On(const TransferLeadership& /*transfer*/, TimePoint now) {
   if (leader_state_ && log_.membership().voters.size() > 1) {
     leader_state_->BeginTransfer(now);
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -84,6 +84,7 @@
   void On(const ReadBarrier& read, TimePoint now);
   void On(const SnapshotTaken& taken, TimePoint now);
   void On(const TransferLeadership& transfer, TimePoint now);
+  void On(const PeersLearned& learned, TimePoint now);
   void Start(TimePoint now);
   void Finish(TimePoint now);
   void FlushPersist();
--- a/src/libs/consensus/replica_event.h
+++ b/src/libs/consensus/replica_event.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libs/consensus/message.h"
 
@@ -55,6 +56,12 @@
 // Asks the leader to hand over, before a planned stop.
 struct TransferLeadership {};
 
+// Further nodes that hold replicas. A replica with a new folder makes itself
+// known to these as well: the leader may be none of those it was told of.
+struct PeersLearned {
+  std::vector<NodeId> peers;
+};
+
 using Event = std::variant<Tick,
                            MessageReceived,
                            Persisted,
@@ -62,7 +69,8 @@
                            ChangeMembership,
                            ReadBarrier,
                            SnapshotTaken,
-                           TransferLeadership>;
+                           TransferLeadership,
+                           PeersLearned>;
 
 }  // namespace bilberryspool::consensus
 
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -11,12 +11,11 @@
 namespace json = boost::json;
 
 json::value ToJson(const WatchQuery& query) {
-  return json::object{{"boot", query.boot},
-                      {"revision", query.revision},
-                      {"version", query.version},
-                      {"was_leader", query.was_leader},
-                      {"slow_revision", query.slow_revision},
-                      {"wait_us", query.wait.count()}};
+  return json::object{
+      {"asker", query.asker},           {"boot", query.boot},
+      {"revision", query.revision},     {"version", query.version},
+      {"was_leader", query.was_leader}, {"slow_revision", query.slow_revision},
+      {"wait_us", query.wait.count()}};
 }
 
 json::value ToJson(const WatchAnswer& answer) {
@@ -40,6 +39,7 @@
                       {"slow", std::move(slow)},
                       {"whole", answer.is_whole},
                       {"targets", std::move(targets)},
+                      {"gateways", answer.gateways},
                       {"members", std::move(members)}};
   if (answer.configuration.has_value()) {
     object["configuration"] = *answer.configuration;
@@ -52,20 +52,26 @@
   if (object == nullptr) {
     return std::nullopt;
   }
+  const auto asker = Text(*object, "asker");
   const auto boot = Number(*object, "boot");
   const auto revision = Number(*object, "revision");
   const auto version = Number(*object, "version");
   const auto was_leader = Flag(*object, "was_leader");
   const auto slow_revision = Number(*object, "slow_revision");
   const auto wait = Number(*object, "wait_us");
-  if (!boot || !revision || !version || !was_leader || !slow_revision ||
-      !wait) {
+  if (!asker || !boot || !revision || !version || !was_leader ||
+      !slow_revision || !wait) {
     return std::nullopt;
   }
-  return WatchQuery{
-      *boot,          *revision,
-      *version,       *was_leader,
-      *slow_revision, Microseconds(static_cast<std::int64_t>(*wait))};
+  WatchQuery query;
+  query.asker = *asker;
+  query.boot = *boot;
+  query.revision = *revision;
+  query.version = *version;
+  query.was_leader = *was_leader;
+  query.slow_revision = *slow_revision;
+  query.wait = Microseconds(static_cast<std::int64_t>(*wait));
+  return query;
 }
 
 std::optional<WatchAnswer> WatchAnswerFromJson(const json::value& value) {
@@ -79,11 +85,12 @@
   const auto is_leader = Flag(*object, "leader");
   const auto is_whole = Flag(*object, "whole");
   const auto slow_revision = Number(*object, "slow_revision");
+  const auto gateways = Number(*object, "gateways");
   const json::array* targets = List(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !is_leader || !is_whole ||
-      !slow_revision || targets == nullptr || members == nullptr ||
+      !slow_revision || !gateways || targets == nullptr || members == nullptr ||
       slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
@@ -93,6 +100,7 @@
   answer.version = *version;
   answer.is_leader = *is_leader;
   answer.slow_revision = *slow_revision;
+  answer.gateways = *gateways;
   answer.is_whole = *is_whole;
   answer.configuration = Text(*object, "configuration");
   for (const auto& item : slow->get_object()) {
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -21,6 +21,8 @@
 
 // What the gateway knows.
 struct WatchQuery {
+  // Of the gateway; empty where another control node asks.
+  std::string asker;
   std::uint64_t boot = 0;      // of the control node that it knows it from
   std::uint64_t revision = 0;  // of the targets
   std::uint64_t version = 0;   // of the configuration
@@ -39,6 +41,8 @@
   // All targets that the node knows, not only what changed.
   bool is_whole = false;
   std::vector<TargetRecord> targets;
+  // Gateways that the node has heard of lately.
+  std::uint64_t gateways = 0;
   // Addresses of the control nodes.
   std::vector<std::string> members;
   // How many times as long as healthy ones targets take, by address; those that
--- a/src/plugins/control/replica_driver.cc
+++ b/src/plugins/control/replica_driver.cc
@@ -252,6 +252,10 @@
   return waiter->is_current.value_or(false);
 }
 
+void ReplicaDriver::LearnPeers(std::vector<NodeId> peers) {
+  Handle(consensus::PeersLearned{std::move(peers)});
+}
+
 void ReplicaDriver::HandOver() {
   Handle(consensus::TransferLeadership{});
 }
--- a/src/plugins/control/replica_driver.h
+++ b/src/plugins/control/replica_driver.h
@@ -72,6 +72,8 @@
   // True once everything that was accepted before the call is applied here;
   // false where this replica does not lead, or `patience` ran out.
   bool WaitUntilCurrent(Duration patience);
+  // Further nodes that hold replicas.
+  void LearnPeers(std::vector<NodeId> peers);
   // Asks the leader, where this is it, to hand over.
   void HandOver();
 
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -99,6 +99,7 @@
     return;
   }
   marks_[peer] = {answer->boot, answer->revision};
+  node_.replica().LearnMembers(answer->members);
   for (const traffic::TargetRecord& record : answer->targets) {
     if (record.announcement.standing == traffic::Standing::kGone) {
       others_.Withdraw(record.announcement.target, SteadyNow());
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -63,6 +63,7 @@
              const net::HttpRequest& request,
              Duration patience);
   void Pump();
+  Duration busy_interval() const;
   void AskReports();
   void AskPicks();
   void ReadMap();
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr Duration kBusyReports = Milliseconds(40);
+// Reports a second of one group while a change settles: what a control node of
+// 0.15 of a core can ask and read beside its other work.
+constexpr double kReportsPerSecond = 400.0;
 constexpr Duration kIdleReports = Milliseconds(1000);
 constexpr Duration kReportPatience = Milliseconds(300);
 constexpr Duration kOrderPatience = Milliseconds(200);
@@ -87,6 +89,9 @@
 groups::StepSwitchOptions SwitchOptions(std::uint32_t ranks) {
   groups::StepSwitchOptions options;
   options.ranks = ranks;
+  // Each question repeats the whole map to each rank.
+  constexpr Duration kPollPerRank = Microseconds(1250);
+  options.copy_poll = kPollPerRank * ranks;
   return options;
 }
 
@@ -163,6 +168,12 @@
           asked_directly - kReportLag};
 }
 
+Duration GroupTask::busy_interval() const {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return Microseconds(static_cast<std::int64_t>(ranks_ / kReportsPerSecond *
+                                                kMicrosecondsPerSecond));
+}
+
 void GroupTask::Tick() {
   if (!has_all_ranks()) {
     return;
@@ -171,7 +182,7 @@
   if (now >= reports_due_) {
     const bool is_watched = switch_.phase() == SwitchPhase::kObserving ||
                             switch_.phase() == SwitchPhase::kSettling;
-    reports_due_ = now + (is_watched ? kBusyReports : kIdleReports);
+    reports_due_ = now + (is_watched ? busy_interval() : kIdleReports);
     AskReports();
   }
   if (now >= picks_due_) {
@@ -285,7 +296,7 @@
     if (is_whole && map->Orphans().empty()) {
       switch_.OnMapRead(version, map);
     }
-    loop_.SleepFor(kBusyReports);
+    loop_.SleepFor(busy_interval());
     is_reading_map_ = false;
   });
 }
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -253,4 +253,17 @@
   return members;
 }
 
+// A node with a new folder knows the seeds alone, and none of them may lead.
+void ReplicaHost::LearnMembers(const std::vector<std::string>& members) {
+  if (driver_ == nullptr || !driver_->replica().is_blank()) {
+    return;
+  }
+  std::vector<NodeId> peers;
+  peers.reserve(members.size());
+  for (const std::string& member : members) {
+    peers.emplace_back(member);
+  }
+  driver_->LearnPeers(std::move(peers));
+}
+
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/replica_host.h
+++ b/src/plugins/control_node/replica_host.h
@@ -49,6 +49,8 @@
   // The voters and learners, and where nothing is known yet the seeds.
   std::vector<net::Endpoint> FindMembers() const;
   const NodeId& self() const { return self_; }
+  // Addresses of the control nodes as another one knows them.
+  void LearnMembers(const std::vector<std::string>& members);
 
  private:
   std::string Open();
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -22,6 +22,9 @@
   if (!query.has_value()) {
     return std::nullopt;
   }
+  if (!query->asker.empty()) {
+    gateways_[query->asker] = SteadyNow();
+  }
   const bool knows_this_boot = query->boot == node_.boot();
   const std::uint64_t revision = knows_this_boot ? query->revision : 0;
   const auto has_news = [&] {
@@ -46,6 +49,7 @@
   for (const net::Endpoint& member : node_.replica().FindMembers()) {
     answer.members.push_back(member.ToString());
   }
+  answer.gateways = CountGateways(SteadyNow());
   answer.version = node_.configuration().version();
   if (answer.version > query->version) {
     answer.configuration = node_.configuration().text();
@@ -53,4 +57,13 @@
   return traffic::ToJson(answer);
 }
 
+std::size_t WatchService::CountGateways(TimePoint now) {
+  // Several questions may be lost before one counts as gone.
+  const Duration memory = traffic::kLongestWatch * 5;
+  std::erase_if(gateways_, [now, memory](const auto& item) {
+    return now - item.second > memory;
+  });
+  return gateways_.size();
+}
+
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/watch_service.h
+++ b/src/plugins/control_node/watch_service.h
@@ -4,7 +4,9 @@
 #define PLUGINS_CONTROL_NODE_WATCH_SERVICE_H_
 
 #include <boost/json/value.hpp>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "libs/links/link_server.h"
 #include "plugins/control_node/control_node.h"
@@ -24,7 +26,11 @@
 
   std::optional<Json> OnWatch(const Json& params);
 
+  std::size_t CountGateways(TimePoint now);
+
   ControlNode& node_;
+  // When each gateway last asked, by name.
+  std::map<std::string, TimePoint> gateways_;
 };
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -27,10 +27,12 @@
     net::NetworkLoop& loop,
     std::shared_ptr<const net::LinkAuthenticator> authenticator,
     GatewayState& state,
+    std::string name,
     traffic::ConfigurationReader read_configuration)
     : loop_(loop),
       client_(loop, std::move(authenticator)),
       state_(state),
+      name_(std::move(name)),
       read_configuration_(std::move(read_configuration)),
       log_("follower"),
       started_at_(SteadyNow()) {}
@@ -82,6 +84,7 @@
 
 bool ControlFollower::Ask(Node& node) {
   traffic::WatchQuery query;
+  query.asker = name_;
   query.boot = node.boot;
   query.revision = node.revision;
   query.version =
@@ -114,6 +117,7 @@
   node.slow_revision = answer.slow_revision;
   node.heard_at = now;
   AdoptConfiguration(answer);
+  state_.NoteGateways(answer.gateways);
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole,
                         answer.targets, now);
   state_.targets.SetSlow(node.endpoint.ToString(), answer.slow_targets);
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -23,6 +23,7 @@
   ControlFollower(net::NetworkLoop& loop,
                   std::shared_ptr<const net::LinkAuthenticator> authenticator,
                   GatewayState& state,
+                  std::string name,
                   traffic::ConfigurationReader read_configuration);
 
   // Adds control nodes to follow; those that are followed already go on.
@@ -53,6 +54,7 @@
   net::NetworkLoop& loop_;
   links::LinkClient client_;
   GatewayState& state_;
+  std::string name_;
   traffic::ConfigurationReader read_configuration_;
   telemetry::Logger log_;
   std::set<net::Endpoint> followed_;
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -54,6 +54,7 @@
         follower_(loop_,
                   std::move(authenticator),
                   state_,
+                  common.node.value(),
                   interface.read_configuration),
         callers_(loop_,
                  CallerOptions(settings),
@@ -117,6 +118,7 @@
 
   void FollowSeeds(const std::vector<settings::SocketAddress>& seeds) {
     std::vector<net::Endpoint> nodes;
+    nodes.reserve(seeds.size());
     for (const settings::SocketAddress& seed : seeds) {
       nodes.push_back(
           {seed.ip, static_cast<std::uint16_t>(settings_.control_peers_port)});
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -4,10 +4,11 @@
 
 namespace {
 
-// The retry budget holds for all gateways together and none of them knows how
-// many there are. Each takes the share of one in this many; more gateways than
-// that are held by the ratio alone.
-constexpr double kAssumedGateways = 24.0;
+// The retry budget holds for all gateways together. Until a control node has
+// told how many there are, each takes the share of one in this many.
+constexpr std::uint64_t kAssumedGateways = 24;
+// A few may have been missed, or come later.
+constexpr double kShareMargin = 1.25;
 // Part of the ratio that is used, so that a window that begins in the middle
 // of a burst of failures holds as well.
 constexpr double kUsedRatio = 0.7;
@@ -47,13 +48,24 @@
 limits::RetryBudget& GatewayState::BudgetOf(const ServiceId& service) {
   limits::RetryBudgetOptions options;
   options.ratio = retries.ratio * kUsedRatio;
-  options.global_burst = retries.slack / kAssumedGateways;
+  const auto sharers =
+      static_cast<double>(gateways > 0 ? gateways : kAssumedGateways);
+  options.global_burst = retries.slack / (sharers * kShareMargin);
   options.global_reserve = options.global_burst / ToSeconds(retries.window);
   options.workspace_burst = options.global_burst;
   options.workspace_reserve = options.global_reserve;
   return budgets.try_emplace(service, options).first->second;
 }
 
+void GatewayState::NoteGateways(std::uint64_t count) {
+  if (count <= gateways) {
+    return;
+  }
+  gateways = count;
+  // Shares get smaller; a new budget starts with the smaller one.
+  budgets.clear();
+}
+
 void GatewayState::Count(std::string_view outcome) {
   metrics
       .CounterFor(
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -30,6 +30,8 @@
 
   limits::RetryBudget& BudgetOf(const ServiceId& service);
   void Count(std::string_view outcome);
+  // How many gateways a control node has heard of.
+  void NoteGateways(std::uint64_t count);
 
   traffic::WireDialect dialect;
   settings::RetryLimits retries;
@@ -41,6 +43,9 @@
   telemetry::Logger log;
   telemetry::Registry metrics;
   std::uint64_t requests_in_progress = 0;
+  // The most that were heard of: a control node that is cut off hears fewer,
+  // and shares that are too large would break the bound for all.
+  std::uint64_t gateways = 0;
   std::map<ServiceId, limits::RetryBudget> budgets;
 };
 
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -38,6 +38,7 @@
   answer.is_leader = true;
   answer.slow_revision = 8;
   answer.is_whole = true;
+  answer.gateways = 9;
   answer.targets = {MakeRecord()};
   answer.members = {"10.0.0.2:7000"};
   answer.slow_targets = {{"10.0.0.1:80", 2.5}};
@@ -46,9 +47,10 @@
 }
 
 TEST_CASE("a watch and its answer survive the way") {
-  const WatchQuery query{1, 2, 3, true, 4, Milliseconds(900)};
+  const WatchQuery query{"gateway-1", 1, 2, 3, true, 4, Milliseconds(900)};
   const auto asked = WatchQueryFromJson(ToJson(query));
   REQUIRE(asked.has_value());
+  CHECK(asked->asker == "gateway-1");
   CHECK(asked->boot == 1);
   CHECK(asked->revision == 2);
   CHECK(asked->version == 3);
@@ -64,6 +66,7 @@
   CHECK(answered->version == 7);
   CHECK(answered->is_leader);
   CHECK(answered->is_whole);
+  CHECK(answered->gateways == 9);
   REQUIRE(answered->targets.size() == 1);
   CHECK(answered->targets[0].announcement == MakeRecord().announcement);
   CHECK(answered->targets[0].is_silent);
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -45,8 +45,8 @@
   Target(net::NetworkLoop& loop, int number)
       : loop_(loop),
         id_("i-" + std::to_string(number)),
-        endpoint_{FLAGS_listen, static_cast<std::uint16_t>(FLAGS_first_port +
-                                                           number)},
+        endpoint_{FLAGS_listen,
+                  static_cast<std::uint16_t>(FLAGS_first_port + number)},
         control_(ReadEndpoints(FLAGS_control)),
         client_(loop, net::HttpClientOptions{}),
         server_(loop, Options(endpoint_), [this](net::HttpExchange& exchange) {
