Send a new configuration to each gateway once

Now: the open question is answered with the number, and one node is asked for the text; another after 0.3 s.

--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -11,11 +11,14 @@
 namespace json = boost::json;
 
 json::value ToJson(const WatchQuery& query) {
-  return json::object{
-      {"asker", query.asker},           {"boot", query.boot},
-      {"revision", query.revision},     {"version", query.version},
-      {"was_leader", query.was_leader}, {"slow_revision", query.slow_revision},
-      {"wait_us", query.wait.count()}};
+  return json::object{{"asker", query.asker},
+                      {"boot", query.boot},
+                      {"revision", query.revision},
+                      {"version", query.version},
+                      {"was_leader", query.was_leader},
+                      {"slow_revision", query.slow_revision},
+                      {"wants_configuration", query.wants_configuration},
+                      {"wait_us", query.wait.count()}};
 }
 
 json::value ToJson(const WatchAnswer& answer) {
@@ -58,9 +61,10 @@
   const auto version = Number(*object, "version");
   const auto was_leader = Flag(*object, "was_leader");
   const auto slow_revision = Number(*object, "slow_revision");
+  const auto wants_configuration = Flag(*object, "wants_configuration");
   const auto wait = Number(*object, "wait_us");
   if (!asker || !boot || !revision || !version || !was_leader ||
-      !slow_revision || !wait) {
+      !slow_revision || !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -70,6 +74,7 @@
   query.version = *version;
   query.was_leader = *was_leader;
   query.slow_revision = *slow_revision;
+  query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
   return query;
 }
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -28,6 +28,9 @@
   std::uint64_t version = 0;   // of the configuration
   bool was_leader = false;
   std::uint64_t slow_revision = 0;  // of the slow targets
+  // Whether a newer configuration is wanted with the answer, or only its
+  // number: all control nodes have the same one, which may be large.
+  bool wants_configuration = true;
   Duration wait{};
 };
 
@@ -48,7 +51,7 @@
   // How many times as long as healthy ones targets take, by address; those that
   // the leader has found slow.
   std::map<std::string, double> slow_targets;
-  // Only where it is newer than the gateway's.
+  // Only where it is newer than the gateway's, and wanted.
   std::optional<std::string> configuration;
 };
 
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -87,6 +87,7 @@
   query.boot = mark.boot;
   query.revision = mark.revision;
   query.version = node_.configuration().version();
+  query.wants_configuration = false;
   const auto result = links_.Call(peer, "control.watch", traffic::ToJson(query),
                                   kLearnPatience);
   const auto* json = std::get_if<boost::json::value>(&result);
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -51,7 +51,7 @@
   }
   answer.gateways = CountGateways(SteadyNow());
   answer.version = node_.configuration().version();
-  if (answer.version > query->version) {
+  if (query->wants_configuration && answer.version > query->version) {
     answer.configuration = node_.configuration().text();
   }
   return traffic::ToJson(answer);
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -1,5 +1,6 @@
 #include "plugins/gateway/control_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/net/network_loop.h"
@@ -14,6 +15,9 @@
 // An answer that takes longer than the node may hold it is lost: the node is
 // dead, cut off, or the connection has gone silent.
 constexpr Duration kWatchPatience = traffic::kLongestWatch + Milliseconds(600);
+// A node that was asked for a configuration and has not sent it by then is
+// asked no longer alone.
+constexpr Duration kFetchPatience = Milliseconds(300);
 constexpr Duration kPauseAfterFailure = Milliseconds(150);
 // Without a word from the leader the newest configuration heard of counts
 // after this time, so that a failure domain that is cut off goes on serving.
@@ -57,7 +61,10 @@
 
 void ControlFollower::Run(const std::shared_ptr<Node>& node) {
   while (true) {
-    const bool is_reachable = Ask(*node);
+    const bool is_reachable = Ask(*node, /*wants_configuration=*/false);
+    if (is_reachable) {
+      Fetch(*node);
+    }
     if (is_reachable != node->is_reachable) {
       node->is_reachable = is_reachable;
       log_.Info(is_reachable ? "Control node regained." : "Control node lost.",
@@ -82,16 +89,43 @@
   }
 }
 
-bool ControlFollower::Ask(Node& node) {
+std::uint64_t ControlFollower::version_in_force() const {
+  return state_.routes == nullptr ? 0 : state_.routes->configuration().version;
+}
+
+// Each node tells of a new configuration at about the same moment. With the
+// text in each answer it would cross the links once for each control node.
+void ControlFollower::Fetch(Node& node) {
+  const bool is_under_way = fetched_version_ >= node.told_version &&
+                            SteadyNow() - fetched_at_ < kFetchPatience;
+  if (node.told_version <= version_in_force() || is_under_way) {
+    return;
+  }
+  fetched_version_ = node.told_version;
+  fetched_at_ = SteadyNow();
+  if (!Ask(node, /*wants_configuration=*/true)) {
+    fetched_version_ = 0;
+  }
+}
+
+bool ControlFollower::Ask(Node& node, bool wants_configuration) {
   traffic::WatchQuery query;
   query.asker = name_;
   query.boot = node.boot;
   query.revision = node.revision;
-  query.version =
-      state_.routes == nullptr ? 0 : state_.routes->configuration().version;
+  // What the node has told already is no news again.
+  query.version = wants_configuration
+                      ? version_in_force()
+                      : std::max(version_in_force(), node.told_version);
+  query.wants_configuration = wants_configuration;
   query.was_leader = node.is_leader;
   query.slow_revision = node.slow_revision;
-  query.wait = traffic::kLongestWatch;
+  // While a text is on its way to another fiber, this one looks again soon, in
+  // case it does not arrive.
+  const bool lacks_text = node.told_version > version_in_force();
+  query.wait = wants_configuration ? Duration::zero()
+               : lacks_text        ? kFetchPatience
+                                   : traffic::kLongestWatch;
   const auto result = client_.Call(node.endpoint, "control.watch",
                                    traffic::ToJson(query), kWatchPatience);
   const auto* json = std::get_if<boost::json::value>(&result);
@@ -113,6 +147,7 @@
   const TimePoint now = SteadyNow();
   node.boot = answer.boot;
   node.revision = answer.revision;
+  node.told_version = answer.version;
   node.is_leader = answer.is_leader;
   node.slow_revision = answer.slow_revision;
   node.heard_at = now;
@@ -136,9 +171,8 @@
 
 // Never goes back: an answer that was overtaken is older than what is served.
 void ControlFollower::AdoptConfiguration(const traffic::WatchAnswer& answer) {
-  const std::uint64_t in_force =
-      state_.routes == nullptr ? 0 : state_.routes->configuration().version;
-  if (!answer.configuration.has_value() || answer.version <= in_force) {
+  if (!answer.configuration.has_value() ||
+      answer.version <= version_in_force()) {
     return;
   }
   auto read = read_configuration_(*answer.configuration);
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -39,6 +39,8 @@
     net::Endpoint endpoint;
     std::uint64_t boot = 0;
     std::uint64_t revision = 0;
+    // The newest configuration that the node has told of.
+    std::uint64_t told_version = 0;
     bool is_leader = false;
     std::uint64_t slow_revision = 0;
     bool is_reachable = false;
@@ -47,7 +49,11 @@
 
   void Run(const std::shared_ptr<Node>& node);
   // False where the node did not answer.
-  bool Ask(Node& node);
+  bool Ask(Node& node, bool wants_configuration);
+  // Asks the node for the text of the configuration that it told of, unless it
+  // is in force or another node is being asked already.
+  void Fetch(Node& node);
+  std::uint64_t version_in_force() const;
   void Adopt(Node& node, const traffic::WatchAnswer& answer);
   void AdoptConfiguration(const traffic::WatchAnswer& answer);
 
@@ -61,6 +67,9 @@
   std::set<net::Endpoint> reachable_;
   std::set<net::Endpoint> members_;
   TimePoint started_at_;
+  // The newest configuration that a node was asked for, and when.
+  std::uint64_t fetched_version_ = 0;
+  TimePoint fetched_at_;
   bool has_heard_leader_ = false;
 };
 
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -47,7 +47,15 @@
 }
 
 TEST_CASE("a watch and its answer survive the way") {
-  const WatchQuery query{"gateway-1", 1, 2, 3, true, 4, Milliseconds(900)};
+  WatchQuery query;
+  query.asker = "gateway-1";
+  query.boot = 1;
+  query.revision = 2;
+  query.version = 3;
+  query.was_leader = true;
+  query.slow_revision = 4;
+  query.wait = Milliseconds(900);
+  query.wants_configuration = false;
   const auto asked = WatchQueryFromJson(ToJson(query));
   REQUIRE(asked.has_value());
   CHECK(asked->asker == "gateway-1");
@@ -56,6 +64,7 @@
   CHECK(asked->version == 3);
   CHECK(asked->was_leader);
   CHECK(asked->slow_revision == 4);
+  CHECK_FALSE(asked->wants_configuration);
   CHECK(asked->wait == Milliseconds(900));
 
   const auto answered =
