Follow control nodes that have no vote

Cause (grown sites): six or eight control nodes serve targets, five have a vote; gateways and the leader asked the log's members alone.

Now control nodes note who asks and answers them and pass that on; a node without a vote forwards changes and reads to the members. Test: platform_test.sh, red without the change (waited in vain until gateway 1 knows the target of node 4).

--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -12,6 +12,7 @@
 
 json::value ToJson(const WatchQuery& query) {
   return json::object{{"asker", query.asker},
+                      {"control_address", query.control_address},
                       {"boot", query.boot},
                       {"revision", query.revision},
                       {"version", query.version},
@@ -56,6 +57,7 @@
     return std::nullopt;
   }
   const auto asker = Text(*object, "asker");
+  const auto control_address = Text(*object, "control_address");
   const auto boot = Number(*object, "boot");
   const auto revision = Number(*object, "revision");
   const auto version = Number(*object, "version");
@@ -63,12 +65,13 @@
   const auto slow_revision = Number(*object, "slow_revision");
   const auto wants_configuration = Flag(*object, "wants_configuration");
   const auto wait = Number(*object, "wait_us");
-  if (!asker || !boot || !revision || !version || !was_leader ||
-      !slow_revision || !wants_configuration || !wait) {
+  if (!asker || !control_address || !boot || !revision || !version ||
+      !was_leader || !slow_revision || !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
   query.asker = *asker;
+  query.control_address = *control_address;
   query.boot = *boot;
   query.revision = *revision;
   query.version = *version;
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -21,8 +21,10 @@
 
 // What the gateway knows.
 struct WatchQuery {
-  // Of the gateway; empty where another control node asks.
+  // Name of the gateway that asks; empty where it is a control node.
   std::string asker;
+  // Where that control node is asked in turn; empty for a gateway.
+  std::string control_address;
   std::uint64_t boot = 0;      // of the control node that it knows it from
   std::uint64_t revision = 0;  // of the targets
   std::uint64_t version = 0;   // of the configuration
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -4,6 +4,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <random>
+#include <set>
 
 #include "libs/base/overloaded.h"
 #include "libs/net/network_loop.h"
@@ -23,6 +24,8 @@
 // Where no leader is known yet, a call waits so long for one.
 constexpr Duration kLeaderPatience = Milliseconds(700);
 constexpr Duration kLeaderPoll = Milliseconds(50);
+// Control nodes ask each other once a second.
+constexpr Duration kNodeMemory = Seconds(6);
 constexpr Duration kTickInterval = Milliseconds(250);
 // Announcements that may be missed in a row before a target counts as silent.
 constexpr int kMissedAnnouncements = 3;
@@ -131,12 +134,15 @@
       outcome = SubmitHere(proposed.version, text);
       break;
     }
-    if (const auto leader = replica_.FindLeader()) {
-      outcome = SubmitAt(*leader, proposed.version, text);
+    for (const net::Endpoint& node : FindWhomToAsk()) {
+      outcome = SubmitAt(node, proposed.version, text);
       if (!std::holds_alternative<ConfigurationUnclear>(outcome)) {
         break;
       }
     }
+    if (!std::holds_alternative<ConfigurationUnclear>(outcome)) {
+      break;
+    }
     if (SteadyNow() >= limit) {
       break;
     }
@@ -216,25 +222,31 @@
   return configuration_.text();
 }
 
+std::vector<net::Endpoint> ControlNode::FindWhomToAsk() const {
+  if (const auto leader = replica_.FindLeader()) {
+    return {*leader};
+  }
+  // A node that is no member hears of no leader; each member answers for
+  // itself whether it leads.
+  return replica_.is_member() ? std::vector<net::Endpoint>()
+                              : replica_.FindMembers();
+}
+
 std::optional<std::string> ControlNode::Read() {
   if (replica_.is_leader()) {
     return ReadHere();
   }
-  const auto leader = replica_.FindLeader();
-  if (!leader.has_value()) {
-    return std::nullopt;
-  }
-  const auto result = client_.Call(*leader, "control.read",
-                                   boost::json::object{}, kReadPatience);
-  const auto* value = std::get_if<Json>(&result);
-  if (value == nullptr) {
-    client_.DropIdle(*leader);
-    return std::nullopt;
-  }
-  if (!value->is_string()) {
-    return std::nullopt;
+  for (const net::Endpoint& node : FindWhomToAsk()) {
+    const auto result = client_.Call(node, "control.read",
+                                     boost::json::object{}, kReadPatience);
+    const auto* value = std::get_if<Json>(&result);
+    if (value == nullptr) {
+      client_.DropIdle(node);
+    } else if (value->is_string()) {
+      return std::string(value->as_string());
+    }
   }
-  return std::string(value->as_string());
+  return std::nullopt;
 }
 
 std::optional<ControlNode::Json> ControlNode::OnRead() {
@@ -285,12 +297,28 @@
   changed_.NotifyAll();
 }
 
+std::vector<net::Endpoint> ControlNode::FindNodes() const {
+  std::vector<net::Endpoint> nodes = replica_.FindMembers();
+  std::set<net::Endpoint> known(nodes.begin(), nodes.end());
+  const TimePoint now = SteadyNow();
+  for (const auto& [node, heard_at] : heard_nodes_) {
+    if (now - heard_at < kNodeMemory && known.insert(node).second) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+void ControlNode::NoteNode(const net::Endpoint& node) {
+  heard_nodes_[node] = SteadyNow();
+}
+
 // A target that was told that its leaving is known must get no new work, also
 // where this node dies the moment after. So the others are told beside the
 // gateways; they need not answer, since a cut would hold up the target.
 void ControlNode::Spread(const traffic::TargetRecord& record) {
   const Json params = traffic::ToJson(record);
-  for (const net::Endpoint& peer : replica_.FindMembers()) {
+  for (const net::Endpoint& peer : FindNodes()) {
     if (peer.ToString() == replica_.self().value()) {
       continue;
     }
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libs/config/numbered_configuration.h"
 #include "libs/links/link_client.h"
@@ -69,6 +70,14 @@
   }
   std::uint64_t slow_revision() const { return slow_revision_; }
 
+  // All control nodes that are known: the log's members, and those that have
+  // been heard lately. A node that is no member, because there are enough or
+  // because it was replaced while it was cut off, still serves targets, so
+  // gateways and the other nodes must go on asking it.
+  std::vector<net::Endpoint> FindNodes() const;
+  // A control node has asked this one, or answered it.
+  void NoteNode(const net::Endpoint& node);
+
   const config::NumberedConfiguration& configuration() const {
     return configuration_;
   }
@@ -90,6 +99,8 @@
                          std::uint64_t version,
                          const std::string& text);
   std::optional<std::string> ReadHere();
+  // The leader, where one is known, or the nodes that may be it.
+  std::vector<net::Endpoint> FindWhomToAsk() const;
   std::optional<Json> OnSubmit(const Json& params);
   std::optional<Json> OnRead();
   std::optional<Json> OnTarget(const Json& params);
@@ -105,6 +116,7 @@
   traffic::TargetBook targets_;
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
+  std::map<net::Endpoint, TimePoint> heard_nodes_;
   net::FiberSignal changed_;
   std::uint64_t boot_;
   ReplicaHost replica_;
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -1,6 +1,7 @@
 #include "plugins/control_node/group_keeper.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 #include "libs/net/network_loop.h"
@@ -74,9 +75,13 @@
 }
 
 void GroupKeeper::LearnFromMembers() {
-  for (const net::Endpoint& peer : node_.replica().FindMembers()) {
-    if (peer.ToString() != node_.replica().self().value()) {
-      loop_.Spawn([this, peer] { LearnFrom(peer); });
+  std::set<net::Endpoint> nodes = std::exchange(told_nodes_, {});
+  for (const net::Endpoint& node : node_.FindNodes()) {
+    nodes.insert(node);
+  }
+  for (const net::Endpoint& node : nodes) {
+    if (node.ToString() != node_.replica().self().value()) {
+      loop_.Spawn([this, node] { LearnFrom(node); });
     }
   }
 }
@@ -84,6 +89,7 @@
 void GroupKeeper::LearnFrom(const net::Endpoint& peer) {
   const Mark mark = marks_[peer];
   traffic::WatchQuery query;
+  query.control_address = node_.replica().self().value();
   query.boot = mark.boot;
   query.revision = mark.revision;
   query.version = node_.configuration().version();
@@ -100,7 +106,13 @@
     return;
   }
   marks_[peer] = {answer->boot, answer->revision};
+  node_.NoteNode(peer);
   node_.replica().LearnMembers(answer->members);
+  for (const std::string& member : answer->members) {
+    if (const auto endpoint = net::ParseEndpoint(member)) {
+      told_nodes_.insert(*endpoint);
+    }
+  }
   for (const traffic::TargetRecord& record : answer->targets) {
     if (record.announcement.standing == traffic::Standing::kGone) {
       others_.Withdraw(record.announcement.target, SteadyNow());
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -140,6 +141,8 @@
   std::vector<std::unique_ptr<GroupTask>> ended_;
   traffic::TargetBook others_;
   std::map<net::Endpoint, Mark> marks_;
+  // Nodes that others have told of, to be asked once.
+  std::set<net::Endpoint> told_nodes_;
   bool was_leader_ = false;
   std::uint64_t read_version_ = 0;
   std::map<ServiceId, traffic::Service> services_;
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -228,6 +228,11 @@
   return driver_ != nullptr && driver_->is_leader(SteadyNow());
 }
 
+bool ReplicaHost::is_member() const {
+  return driver_ != nullptr && driver_->replica().log().membership().Contains(
+                                   driver_->replica().self());
+}
+
 std::optional<net::Endpoint> ReplicaHost::FindLeader() const {
   if (driver_ == nullptr || !driver_->replica().leader().has_value() ||
       driver_->replica().leader()->node == self_) {
--- a/src/plugins/control_node/replica_host.h
+++ b/src/plugins/control_node/replica_host.h
@@ -44,6 +44,8 @@
   // Null while the data folder is being opened again.
   control::ReplicaDriver* driver() { return driver_.get(); }
   bool is_leader() const;
+  // Whether this node's folder is in the log's membership, as far as it knows.
+  bool is_member() const;
   // Where the leader is called; nothing where none is known or this is it.
   std::optional<net::Endpoint> FindLeader() const;
   // The voters and learners, and where nothing is known yet the seeds.
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -25,6 +25,9 @@
   if (!query->asker.empty()) {
     gateways_[query->asker] = SteadyNow();
   }
+  if (const auto node = net::ParseEndpoint(query->control_address)) {
+    node_.NoteNode(*node);
+  }
   const bool knows_this_boot = query->boot == node_.boot();
   const std::uint64_t revision = knows_this_boot ? query->revision : 0;
   const auto has_news = [&] {
@@ -46,7 +49,7 @@
   answer.slow_targets = node_.slow_targets();
   answer.is_whole = !knows_this_boot;
   answer.targets = node_.targets().ChangedSince(revision);
-  for (const net::Endpoint& member : node_.replica().FindMembers()) {
+  for (const net::Endpoint& member : node_.FindNodes()) {
     answer.members.push_back(member.ToString());
   }
   answer.gateways = CountGateways(SteadyNow());
--- a/tests/processes/platform/platform_test.sh
+++ b/tests/processes/platform/platform_test.sh
@@ -7,7 +7,7 @@
 
 GATEWAYS="1 2"
 CONTROLS="1 2 3"
-for i in $CONTROLS; do
+for i in $CONTROLS 4; do
   cat > "$RUN/control-$i.toml" << T
 role = "control"
 deployment = "test-$$"
@@ -52,8 +52,9 @@
 put_config() { # NODE VERSION PREFIX
   curl -s -m 5 -o /dev/null -w '%{http_code}' -X PUT "127.0.0.$1:${P}10/config" -d "{\"version\":$2,
     \"routes\":[{\"name\":\"plain\",\"host\":\"h.example\",\"path_prefix\":\"/$3/\",\"kind\":\"unsafe\",\"timeout_ms\":4000,\"service\":\"model\"},
-      {\"name\":\"stream\",\"host\":\"h.example\",\"path_prefix\":\"/stream/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"service\":\"model\",\"attempts\":2,\"resume_streams\":true}],
-    \"services\":[{\"name\":\"model\"}],\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"k1\"]}]}"
+      {\"name\":\"stream\",\"host\":\"h.example\",\"path_prefix\":\"/stream/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"service\":\"model\",\"attempts\":2,\"resume_streams\":true},
+      {\"name\":\"extra\",\"host\":\"h.example\",\"path_prefix\":\"/extra/\",\"kind\":\"safe\",\"timeout_ms\":4000,\"service\":\"extra\"}],
+    \"services\":[{\"name\":\"model\"},{\"name\":\"extra\"}],\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"k1\"]}]}"
 }
 call() { # GATEWAY PATH ID [FLAGS...]
   local n="$1" path="$2" id="$3"
@@ -92,6 +93,19 @@
 expect "a route that does not exist" 404 "$(call 1 /none/x n -o /dev/null -w '%{http_code}')"
 expect "a key that nobody holds" 401 "$(KEY=other call 1 /a/x n -o /dev/null -w '%{http_code}')"
 
+# Symptom: targets that announce themselves get no work, though an operator finds
+#   all control nodes well.
+# Sequence: there are more control nodes than voters; targets choose one that has
+#   no vote.
+# Cause: gateways asked the log's members alone.
+sed -i 's/first_start = true/first_start = false/' "$RUN/control-4.toml"
+start_control 4
+start standin-extra "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}80" --count=1 \
+  --service=extra --control="127.0.0.4:${P}10"
+for i in $GATEWAYS; do wait_until "gateway $i knows the target of node 4" is_route "$i" extra; done
+expect "a change at a node without a vote" 200 "$(put_config 4 4 a)"
+wait_until "it reads back there" holds_version 4 4
+
 # A target leaves: what is sent later goes to the other one.
 curl -s -m 5 -X POST "127.0.0.9:${P}70/drain" > /dev/null
 gone_from() { ! (for k in 1 2 3 4 5 6; do call "$1" /a/x "d-$k-$SECONDS"; echo; done | grep -q '^i-0'); }
