--- a/cmake/Bilberryspool.cmake
+++ b/cmake/Bilberryspool.cmake
@@ -43,7 +43,12 @@
 # so the time limit only ends a run that hangs.
 function(bilberryspool_add_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
-  add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/auto/test_main.cc)
+  # Compiled once for all tests: it holds the whole test library.
+  if(NOT TARGET test_main)
+    add_library(test_main OBJECT ${PROJECT_SOURCE_DIR}/tests/auto/test_main.cc)
+    bilberryspool_compile_options(test_main)
+  endif()
+  add_executable(${name} ${ARG_SOURCES} $<TARGET_OBJECTS:test_main>)
   bilberryspool_compile_options(${name})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Threads::Threads)
