--- a/src/libs/links/link_client.cc
+++ b/src/libs/links/link_client.cc
@@ -6,15 +6,13 @@
 #include "libs/base/overloaded.h"
 #include "libs/links/link_headers.h"
 #include "libs/links/link_timeouts.h"
+#include "libs/net/http_status.h"
 #include "libs/rpc/caller.h"
 
 namespace bilberryspool::links {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnauthorized = 401;
-
 net::HttpClientOptions MakeClientOptions() {
   net::HttpClientOptions options;
   options.idle_timeout = kClientIdleTimeout;
@@ -76,11 +74,11 @@
           return rpc::TransportFailure{error->text};
         }
         auto& response = std::get<net::HttpResponse>(result);
-        if (response.head.status == kUnauthorized) {
+        if (response.head.status == net::status::kUnauthorized) {
           link_error = LinkError{LinkErrorKind::kRefused, "key refused"};
           return rpc::TransportFailure{"key refused"};
         }
-        if (response.head.status != kOk) {
+        if (response.head.status != net::status::kOk) {
           return rpc::TransportFailure{"status " +
                                        std::to_string(response.head.status)};
         }
--- a/src/libs/links/link_server.cc
+++ b/src/libs/links/link_server.cc
@@ -5,6 +5,7 @@
 
 #include "libs/links/link_headers.h"
 #include "libs/links/link_timeouts.h"
+#include "libs/net/http_status.h"
 #include "libs/rpc/dispatcher.h"
 
 namespace bilberryspool::links {
@@ -69,10 +70,9 @@
 void LinkServer::Handle(net::HttpExchange& exchange) {
   const auto checked = authenticator_->CheckRequest(exchange.request());
   if (const auto* refusal = std::get_if<net::LinkRefusal>(&checked)) {
-    constexpr int kUnauthorized = 401;
     on_refused_(exchange.peer_address(), *refusal);
     net::HttpResponseHead head;
-    head.status = kUnauthorized;
+    head.status = net::status::kUnauthorized;
     exchange.Respond(std::move(head), net::Describe(*refusal));
     return;
   }
--- a/src/libs/net/link_authenticator.cc
+++ b/src/libs/net/link_authenticator.cc
@@ -134,4 +134,17 @@
   return key;
 }
 
+std::variant<std::shared_ptr<const LinkAuthenticator>, std::string>
+LoadAuthenticator(const std::string& deployment,
+                  const NodeId& self,
+                  const std::string& key_file) {
+  const auto key = ReadKeyFile(key_file);
+  if (!key.has_value()) {
+    return "can't read a key of at least " +
+           std::to_string(LinkAuthenticator::kMinKeyBytes) + " bytes from " +
+           key_file;
+  }
+  return std::make_shared<const LinkAuthenticator>(deployment, self, *key);
+}
+
 }  // namespace bilberryspool::net
--- a/src/libs/net/link_authenticator.h
+++ b/src/libs/net/link_authenticator.h
@@ -60,6 +60,12 @@
 // Reads a key file. Nothing where it can't be read or is too short.
 std::optional<std::string> ReadKeyFile(const std::string& path);
 
+// An authenticator with the key of that file, or why there is none.
+std::variant<std::shared_ptr<const LinkAuthenticator>, std::string>
+LoadAuthenticator(const std::string& deployment,
+                  const NodeId& self,
+                  const std::string& key_file);
+
 }  // namespace bilberryspool::net
 
 #endif  // LIBS_NET_LINK_AUTHENTICATOR_H_
--- a/src/plugins/agent/agent_process.cc
+++ b/src/plugins/agent/agent_process.cc
@@ -291,15 +291,14 @@
 
 int RunAgent(const settings::CommonSettings& common,
              const settings::AgentSettings& settings) {
-  const auto key = net::ReadKeyFile(common.key_file);
-  if (!key.has_value()) {
-    std::cerr << "agent: can't read a key of at least "
-              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
-              << common.key_file << "\n";
+  const auto loaded =
+      net::LoadAuthenticator(common.deployment, common.node, common.key_file);
+  if (const auto* error = std::get_if<std::string>(&loaded)) {
+    std::cerr << "agent: " << *error << "\n";
     return 1;
   }
-  auto authenticator = std::make_shared<const net::LinkAuthenticator>(
-      common.deployment, common.node, *key);
+  const auto& authenticator =
+      std::get<std::shared_ptr<const net::LinkAuthenticator>>(loaded);
   std::optional<telemetry::SpanWriter> spans = telemetry::OpenSpans(
       common.trace.file, "bilberryspool-agent", common.node.value());
   net::NetworkLoop loop;
--- a/src/plugins/callers/authenticate_filter.cc
+++ b/src/plugins/callers/authenticate_filter.cc
@@ -5,13 +5,12 @@
 #include <array>
 
 #include "libs/config/workspace_spec.h"
+#include "libs/net/http_status.h"
 
 namespace bilberryspool::callers {
 
 namespace {
 
-constexpr int kUnauthorized = 401;
-constexpr int kForbidden = 403;
 constexpr std::string_view kBearer = "Bearer ";
 
 }  // namespace
@@ -39,7 +38,7 @@
   const auto* workspace =
       configuration->Find<config::WorkspaceSpec>(context.key.workspace);
   if (workspace == nullptr) {
-    return MakeBadRequest(kForbidden, "unknown-workspace");
+    return MakeBadRequest(net::status::kForbidden, "unknown-workspace");
   }
   if (!workspace->credential_hash.has_value()) {
     return std::nullopt;
@@ -47,7 +46,7 @@
   const auto authorization =
       context.exchange.request().headers.ValueOr("Authorization", "");
   if (!authorization.starts_with(kBearer)) {
-    return MakeBadRequest(kUnauthorized, "credential-missing");
+    return MakeBadRequest(net::status::kUnauthorized, "credential-missing");
   }
   const std::string hash = HashCredential(authorization.substr(kBearer.size()));
   const std::string& expected = *workspace->credential_hash;
@@ -55,7 +54,7 @@
       hash.size() == expected.size() &&
       sodium_memcmp(hash.data(), expected.data(), hash.size()) == 0;
   if (!is_equal) {
-    return MakeBadRequest(kUnauthorized, "credential-wrong");
+    return MakeBadRequest(net::status::kUnauthorized, "credential-wrong");
   }
   return std::nullopt;
 }
--- a/src/plugins/callers/callers_service.cc
+++ b/src/plugins/callers/callers_service.cc
@@ -8,6 +8,7 @@
 #include "libs/config/drain_spec.h"
 #include "libs/config/placement_spec.h"
 #include "libs/config/workspace_spec.h"
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/telemetry/metrics.h"
@@ -262,9 +263,8 @@
 }
 
 void CallersService::HandleHealth(net::HttpExchange& exchange) {
-  constexpr int kUnavailable = 503;
   net::HttpResponseHead head;
-  head.status = is_ready() ? 200 : kUnavailable;
+  head.status = is_ready() ? 200 : net::status::kUnavailable;
   head.headers.Add("Content-Type", "text/plain");
   const std::string_view text = is_draining_ ? "draining\n"
                                 : is_ready() ? "ready\n"
--- a/src/plugins/callers/classify_filter.cc
+++ b/src/plugins/callers/classify_filter.cc
@@ -4,13 +4,12 @@
 
 #include "libs/config/priority_spec.h"
 #include "libs/config/workspace_spec.h"
+#include "libs/net/http_status.h"
 
 namespace bilberryspool::callers {
 
 namespace {
 
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr Duration kConfigRetry = Seconds(2);
 // Levels of the declared priorities from which on they count as normal, high.
 constexpr std::uint32_t kNormalLevel = 1;
@@ -20,7 +19,8 @@
 
 std::optional<FinalAnswer> ClassifyFilter::Handle(RequestContext& context) {
   if (services_.configuration() == nullptr) {
-    FinalAnswer answer = MakeBadRequest(kUnavailable, "no-configuration");
+    FinalAnswer answer =
+        MakeBadRequest(net::status::kUnavailable, "no-configuration");
     answer.retry_after = kConfigRetry;
     return answer;
   }
@@ -29,7 +29,7 @@
       std::string_view(target).substr(0, target.find('?'));
   const config::ServiceSpec* service = services_.Find(path, context.model);
   if (service == nullptr) {
-    return MakeBadRequest(kNotFound, "unknown-service");
+    return MakeBadRequest(net::status::kNotFound, "unknown-service");
   }
   context.service = service->id;
   context.is_idempotent = context.idempotent_mark.value_or(service->idempotent);
--- a/src/plugins/callers/final_answer.cc
+++ b/src/plugins/callers/final_answer.cc
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "libs/net/http_status.h"
 #include "plugins/callers/request_headers.h"
 
 namespace bilberryspool::callers {
@@ -14,24 +15,18 @@
 
 namespace {
 
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 int StatusOf(FinalKind kind, FinalReason reason) {
   switch (reason) {
     case FinalReason::kInProgress:
     case FinalReason::kAnswerNotKept:
-      return kConflict;
+      return net::status::kConflict;
     case FinalReason::kBodyMismatch:
-      return kUnprocessable;
+      return net::status::kUnprocessable;
     case FinalReason::kDeadline:
-      return kGatewayTimeout;
+      return net::status::kGatewayTimeout;
     default:
-      return kind == FinalKind::kUnknown ? kBadGateway : kUnavailable;
+      return kind == FinalKind::kUnknown ? net::status::kBadGateway
+                                         : net::status::kUnavailable;
   }
 }
 
@@ -39,9 +34,9 @@
   switch (reason) {
     case limits::RefusalReason::kRequestRate:
     case limits::RefusalReason::kTokenBudget:
-      return kTooManyRequests;
+      return net::status::kTooManyRequests;
     default:
-      return kUnavailable;
+      return net::status::kUnavailable;
   }
 }
 
--- a/src/plugins/callers/parse_filter.cc
+++ b/src/plugins/callers/parse_filter.cc
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 
+#include "libs/net/http_status.h"
 #include "plugins/callers/request_headers.h"
 
 namespace bilberryspool::callers {
@@ -15,7 +16,6 @@
 
 namespace {
 
-constexpr int kBadRequest = 400;
 constexpr std::size_t kMaxIdLength = 128;
 constexpr std::size_t kMaxDeadlineMs = 24UL * 3600 * 1000;
 constexpr std::uint32_t kMaxExpectedTokens = 1U << 20U;
@@ -91,13 +91,13 @@
   const net::HttpHeaders& headers = context.exchange.request().headers;
   const auto workspace = headers.ValueOr(kWorkspaceHeader, "default");
   if (!IsId(workspace)) {
-    return MakeBadRequest(kBadRequest, "bad-workspace");
+    return MakeBadRequest(net::status::kBadRequest, "bad-workspace");
   }
   context.key.workspace = Workspace(std::string(workspace));
   const auto id = headers.Find(kRequestIdHeader);
   context.has_own_id = id.has_value();
   if (id.has_value() && !IsId(*id)) {
-    return MakeBadRequest(kBadRequest, "bad-idempotency-key");
+    return MakeBadRequest(net::status::kBadRequest, "bad-idempotency-key");
   }
   context.key.request =
       RequestId(id.has_value() ? std::string(*id)
@@ -107,7 +107,7 @@
   if (const auto mark = headers.Find(kIdempotentHeader)) {
     context.idempotent_mark = ParseBool(*mark);
     if (!context.idempotent_mark.has_value()) {
-      return MakeBadRequest(kBadRequest, "bad-idempotent-mark");
+      return MakeBadRequest(net::status::kBadRequest, "bad-idempotent-mark");
     }
   }
   context.is_first_send =
@@ -115,7 +115,7 @@
   if (const auto priority = headers.Find(kPriorityHeader)) {
     context.priority_mark = ParsePriority(*priority);
     if (!context.priority_mark.has_value()) {
-      return MakeBadRequest(kBadRequest, "bad-priority");
+      return MakeBadRequest(net::status::kBadRequest, "bad-priority");
     }
   }
   if (const auto deadline = headers.Find(kDeadlineHeader)) {
@@ -123,7 +123,7 @@
     const bool is_valid = milliseconds.has_value() && *milliseconds > 0 &&
                           *milliseconds <= kMaxDeadlineMs;
     if (!is_valid) {
-      return MakeBadRequest(kBadRequest, "bad-deadline");
+      return MakeBadRequest(net::status::kBadRequest, "bad-deadline");
     }
     context.deadline_after =
         Milliseconds(static_cast<std::int64_t>(*milliseconds));
--- a/src/plugins/callers/request_runner.cc
+++ b/src/plugins/callers/request_runner.cc
@@ -7,6 +7,7 @@
 
 #include "libs/attempts/messages_json.h"
 #include "libs/links/link_headers.h"
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "plugins/callers/final_answer.h"
@@ -299,8 +300,6 @@
 std::optional<attempts::RequestEvent> RequestRunner::JudgeHead(
     const attempts::AttemptRef& attempt,
     const net::HttpResponseHead& head) {
-  constexpr int kUnauthorized = 401;
-  constexpr int kFirstServerError = 500;
   const auto refusal_text = head.headers.Find(links::kRefusalHeader);
   if (refusal_text.has_value()) {
     boost::system::error_code error;
@@ -324,14 +323,14 @@
   if (head.headers.Find(links::kFailureHeader) == "gone") {
     return attempts::LinkLost{attempt.attempt};
   }
-  if (head.status == kUnauthorized &&
+  if (head.status == net::status::kUnauthorized &&
       !head.headers.Find(links::kTokenHeader).has_value()) {
     // The agent refused this entry's key before it looked at the attempt.
     EndOfAttempt(attempt.attempt, routing::AttemptOutcome::kFailed);
     return attempts::AttemptRefused{
         attempt.attempt, attempts::RefusalReason::kStopped, true, {}};
   }
-  if (head.status >= kFirstServerError) {
+  if (head.status >= net::status::kServerError) {
     EndOfAttempt(attempt.attempt, routing::AttemptOutcome::kFailed);
     return attempts::AttemptFailed{attempt.attempt};
   }
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -165,16 +165,15 @@
 int RunControlNode(const settings::CommonSettings& common,
                    const settings::ControlSettings& settings,
                    const ControlInterface& interface) {
-  const auto key = net::ReadKeyFile(common.key_file);
-  if (!key.has_value()) {
-    std::cerr << "control: can't read a key of at least "
-              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
-              << common.key_file << "\n";
+  const auto loaded =
+      net::LoadAuthenticator(common.deployment, common.node, common.key_file);
+  if (const auto* error = std::get_if<std::string>(&loaded)) {
+    std::cerr << "control: " << *error << "\n";
     return 1;
   }
-  Process process(common, settings, interface,
-                  std::make_shared<const net::LinkAuthenticator>(
-                      common.deployment, common.node, *key));
+  const auto& authenticator =
+      std::get<std::shared_ptr<const net::LinkAuthenticator>>(loaded);
+  Process process(common, settings, interface, authenticator);
   process.Run();
   return 0;
 }
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -1,12 +1,12 @@
-// GroupTask: one group's reports, counts, plans and orders.
+#include "plugins/control_node/group_task.h"
 
 #include <algorithm>
 #include <cmath>
 
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/placement/bounded_plan.h"
-#include "plugins/control_node/group_keeper.h"
 
 namespace bilberryspool::control_node {
 
@@ -136,12 +136,12 @@
                                  Duration patience) {
   const TimePoint asked = SteadyNow();
   TimePoint& rests_until = sidecar_rests_[engine.address];
-  constexpr int kServerError = 500;
   if (asked >= rests_until) {
     auto result =
         links_.Send({engine.address, sidecar_port_}, request, patience);
     auto* response = std::get_if<net::HttpResponse>(&result);
-    if (response != nullptr && response->head.status < kServerError) {
+    if (response != nullptr &&
+        response->head.status < net::status::kServerError) {
       return {response->head.status, std::move(response->body), asked};
     }
     links_.DropIdle({engine.address, sidecar_port_});
@@ -239,7 +239,6 @@
 }
 
 void GroupTask::AskPicks() {
-  ++picks_round_;
   const std::uint32_t stride = std::max(1U, ranks_ / kSampledRanks);
   for (std::uint32_t i = 0; i < kSampledRanks && i < ranks_; ++i) {
     const RankIndex rank((i * stride) % ranks_);
--- a/src/plugins/entry/entry_process.cc
+++ b/src/plugins/entry/entry_process.cc
@@ -16,15 +16,14 @@
 
 int RunEntry(const settings::CommonSettings& common,
              const settings::EntrySettings& settings) {
-  const auto key = net::ReadKeyFile(common.key_file);
-  if (!key.has_value()) {
-    std::cerr << "entry: can't read a key of at least "
-              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
-              << common.key_file << "\n";
+  const auto loaded =
+      net::LoadAuthenticator(common.deployment, common.node, common.key_file);
+  if (const auto* error = std::get_if<std::string>(&loaded)) {
+    std::cerr << "entry: " << *error << "\n";
     return 1;
   }
-  const auto authenticator = std::make_shared<const net::LinkAuthenticator>(
-      common.deployment, common.node, *key);
+  const auto& authenticator =
+      std::get<std::shared_ptr<const net::LinkAuthenticator>>(loaded);
   telemetry::Registry metrics;
   std::optional<telemetry::SpanWriter> spans = telemetry::OpenSpans(
       common.trace.file, "bilberryspool-entry", common.node.value());
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -9,6 +9,7 @@
 #include <tuple>
 
 #include "libs/net/http_server.h"
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/settings/load.h"
@@ -136,8 +137,6 @@
   }
 
   void ServeReadiness(net::HttpExchange& exchange) {
-    constexpr int kOk = 200;
-    constexpr int kUnavailable = 503;
     const bool ready = is_ready();
     if (ready != was_ready_) {
       was_ready_ = ready;
@@ -146,7 +145,7 @@
                  {"draining", is_draining_ ? "yes" : "no"}});
     }
     net::HttpResponseHead head;
-    head.status = ready ? kOk : kUnavailable;
+    head.status = ready ? net::status::kOk : net::status::kUnavailable;
     exchange.Respond(std::move(head), ready ? "ready\n" : "not ready\n");
   }
 
@@ -242,16 +241,15 @@
                const settings::GatewaySettings& settings,
                const std::string& settings_path,
                const GatewayInterface& interface) {
-  const auto key = net::ReadKeyFile(common.key_file);
-  if (!key.has_value()) {
-    std::cerr << "gateway: can't read a key of at least "
-              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
-              << common.key_file << "\n";
+  const auto loaded =
+      net::LoadAuthenticator(common.deployment, common.node, common.key_file);
+  if (const auto* error = std::get_if<std::string>(&loaded)) {
+    std::cerr << "gateway: " << *error << "\n";
     return 1;
   }
-  Process process(common, settings, settings_path, interface,
-                  std::make_shared<const net::LinkAuthenticator>(
-                      common.deployment, common.node, *key));
+  const auto& authenticator =
+      std::get<std::shared_ptr<const net::LinkAuthenticator>>(loaded);
+  Process process(common, settings, settings_path, interface, authenticator);
   process.Run();
   return 0;
 }
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/base/overloaded.h"
+#include "libs/net/http_status.h"
 #include "libs/net/steady_time.h"
 
 namespace bilberryspool::gateway {
@@ -15,26 +16,12 @@
 
 namespace {
 
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kMisdirected = 421;
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // Where nothing else tells when a place will be free.
 constexpr Duration kComeBack = Milliseconds(1000);
 
 // A request whose caller names no time and whose route is unknown yet.
 constexpr Duration kDefaultPatience = Seconds(8);
 
-bool IsSuccess(int status) {
-  constexpr int kFirstSuccess = 200;
-  constexpr int kFirstRedirect = 300;
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
 bool IsEventStream(const net::HttpResponseHead& head) {
   return head.headers.ValueOr("Content-Type", "")
       .starts_with("text/event-stream");
@@ -74,11 +61,11 @@
   }
   const auto outcome = routes_->Match(head_.host, head_.path, head_.key);
   if (std::holds_alternative<traffic::NoRoute>(outcome)) {
-    Fail(kNotFound, "no route");
+    Fail(net::status::kNotFound, "no route");
     return false;
   }
   if (std::holds_alternative<traffic::KeyUnknown>(outcome)) {
-    Fail(kUnauthorized, "key unknown");
+    Fail(net::status::kUnauthorized, "key unknown");
     return false;
   }
   match_ = std::get<traffic::RouteMatch>(outcome);
@@ -207,8 +194,8 @@
   }
   trail_ += " " + std::to_string(head.status);
   const bool is_refusal = head.headers.Find(dialect.not_executed).has_value();
-  if (head.status == kMisdirected || is_refusal) {
-    const bool is_replaced = head.status == kMisdirected;
+  if (head.status == net::status::kMisdirected || is_refusal) {
+    const bool is_replaced = head.status == net::status::kMisdirected;
     EndAt(choice,
           is_replaced ? TargetOutcome::kReplaced : TargetOutcome::kFull);
     trail_ += " not_executed";
@@ -220,7 +207,8 @@
     trail_ += " other_answer";
     return NotServed{SendResult::kUnknown, "another request's answer"};
   }
-  if (IsSuccess(head.status) && !head.headers.Find(dialect.signature)) {
+  if (net::status::IsSuccess(head.status) &&
+      !head.headers.Find(dialect.signature)) {
     EndAt(choice, TargetOutcome::kFailed);
     trail_ += " unsigned";
     return NotServed{SendResult::kUnknown, "no signature"};
@@ -232,7 +220,6 @@
                                             net::HttpClientStream& stream) {
   std::string body;
   while (true) {
-    traffic::EventSplitter unused;
     net::StreamPiece piece = stream.Read(patience());
     if (const auto* bytes = std::get_if<std::string>(&piece)) {
       body += *bytes;
@@ -244,7 +231,7 @@
     break;
   }
   const net::HttpResponseHead& head = stream.head();
-  if (head.status >= kServerError) {
+  if (head.status >= net::status::kServerError) {
     EndAt(choice, TargetOutcome::kFailed);
     failure_ = net::HttpResponse{MakeCallerHead(head), std::move(body)};
     return NotServed{SendResult::kFailed,
@@ -269,7 +256,7 @@
     return;
   }
   if (may_have_run_ && !match_.route->may_repeat()) {
-    Fail(kBadGateway, "no other target");
+    Fail(net::status::kBadGateway, "no other target");
     return;
   }
   switch (why) {
@@ -300,11 +287,11 @@
       Refuse(ComeBackLater(), why);
       return;
     case RelayStep::kFailInTime:
-      Fail(kGatewayTimeout, why);
+      Fail(net::status::kGatewayTimeout, why);
       return;
     case RelayStep::kFail:
     case RelayStep::kSendAgain:
-      Fail(kBadGateway, why);
+      Fail(net::status::kBadGateway, why);
       return;
   }
 }
@@ -325,7 +312,7 @@
 
 void RelayCall::Refuse(Duration come_back, std::string_view why) {
   net::HttpResponseHead head;
-  head.status = kUnavailable;
+  head.status = net::status::kUnavailable;
   head.headers.Add("Content-Type", "text/plain");
   head.headers.Add("Retry-After", ToSecondsText(come_back));
   exchange_.Respond(std::move(head), "not run; come back later\n");
--- a/src/plugins/operators/operators_server.cc
+++ b/src/plugins/operators/operators_server.cc
@@ -8,6 +8,7 @@
 
 #include "libs/language/rendering.h"
 #include "libs/net/http_server.h"
+#include "libs/net/http_status.h"
 #include "libs/net/link_authenticator.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
@@ -27,16 +28,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kConflict = 409;
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 constexpr std::size_t kMaxBodyBytes = 128UL * 1024;
 constexpr std::size_t kMaxConnections = 64;
 constexpr std::size_t kLoggedBytes = 512;
@@ -55,31 +46,31 @@
   if (result.failure.has_value()) {
     switch (*result.failure) {
       case ControlFailureKind::kNoLeader:
-        return kServiceUnavailable;
+        return net::status::kUnavailable;
       case ControlFailureKind::kBusy:
-        return kTooManyRequests;
+        return net::status::kTooManyRequests;
       case ControlFailureKind::kUnknown:
-        return kGatewayTimeout;
+        return net::status::kGatewayTimeout;
     }
   }
   switch (result.answer.status) {
     case AnswerStatus::kDone:
-      return kOk;
+      return net::status::kOk;
     case AnswerStatus::kRefused:
-      return kConflict;
+      return net::status::kConflict;
     case AnswerStatus::kInvalid:
-      return kBadRequest;
+      return net::status::kBadRequest;
     case AnswerStatus::kUnknown:
-      return kGatewayTimeout;
+      return net::status::kGatewayTimeout;
   }
-  return kGatewayTimeout;
+  return net::status::kGatewayTimeout;
 }
 
 void RespondText(net::HttpExchange& exchange, int status, std::string text) {
   net::HttpResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "text/plain; charset=utf-8");
-  if (status == kUnauthorized) {
+  if (status == net::status::kUnauthorized) {
     head.headers.Add("WWW-Authenticate", "Bearer");
   }
   exchange.Respond(std::move(head), text + "\n");
@@ -158,7 +149,7 @@
   if (!credential->IsShownBy(exchange.request())) {
     log.Warn("Refused an operator without the credential.",
              {{"peer", exchange.peer_address()}});
-    RespondText(exchange, kUnauthorized,
+    RespondText(exchange, net::status::kUnauthorized,
                 "the operators' credential is missing or wrong: "
                 "send Authorization: Bearer CREDENTIAL");
     return;
@@ -168,14 +159,14 @@
       continue;
     }
     if (exchange.request().method != route.method) {
-      RespondText(exchange, kMethodNotAllowed,
+      RespondText(exchange, net::status::kMethodNotAllowed,
                   "use " + std::string(route.method));
       return;
     }
     (this->*route.handler)(exchange);
     return;
   }
-  RespondText(exchange, kNotFound,
+  RespondText(exchange, net::status::kNotFound,
               "there are POST /statement, POST /log-level and GET /status");
 }
 
@@ -190,7 +181,7 @@
   }
   if (!ReadNumber(headers, kReadVersionHeader, request.read_version) ||
       !ReadNumber(headers, kIssuedAfterHeader, request.issued_after)) {
-    RespondText(exchange, kBadRequest,
+    RespondText(exchange, net::status::kBadRequest,
                 std::string(kReadVersionHeader) + " and " +
                     std::string(kIssuedAfterHeader) + " are numbers");
     return;
@@ -230,7 +221,8 @@
   if (result.command_id.has_value()) {
     head.headers.Add(std::string(kCommandIdHeader), result.command_id->value());
   }
-  if (head.status == kTooManyRequests || head.status == kServiceUnavailable) {
+  if (head.status == net::status::kTooManyRequests ||
+      head.status == net::status::kUnavailable) {
     head.headers.Add("Retry-After", "1");
   }
   head.headers.Add(std::string(kVersionHeader),
@@ -254,10 +246,10 @@
     }
     telemetry::SetLogLevel(known.level);
     log.Warn("Log level set.", {{"level", word}});
-    RespondText(exchange, kOk, "log level " + std::string(word));
+    RespondText(exchange, net::status::kOk, "log level " + std::string(word));
     return;
   }
-  RespondText(exchange, kBadRequest,
+  RespondText(exchange, net::status::kBadRequest,
               "the levels are debug, info, warn and error");
 }
 
--- a/src/plugins/query/query_client.cc
+++ b/src/plugins/query/query_client.cc
@@ -5,6 +5,7 @@
 
 #include "libs/language/parser.h"
 #include "libs/language/rendering.h"
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "plugins/operators/operator_headers.h"
 
@@ -14,23 +15,19 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 ExitCode CodeOf(int http_status) {
-  if (http_status == kOk) {
+  if (http_status == net::status::kOk) {
     return ExitCode::kDone;
   }
-  return http_status == kBadRequest ? ExitCode::kUsage : ExitCode::kRefused;
+  return http_status == net::status::kBadRequest ? ExitCode::kUsage
+                                                 : ExitCode::kRefused;
 }
 
 // An entry that can't answer now, though another may.
 bool IsPassing(int http_status) {
-  return http_status == kTooManyRequests ||
-         http_status == kServiceUnavailable || http_status == kGatewayTimeout;
+  return http_status == net::status::kTooManyRequests ||
+         http_status == net::status::kUnavailable ||
+         http_status == net::status::kGatewayTimeout;
 }
 
 // What the client must know of a statement to send it rightly.
@@ -141,7 +138,7 @@
   const int status = response.head.status;
   if (IsPassing(status)) {
     return {std::nullopt, FirstSentence(response.body),
-            status == kGatewayTimeout};
+            status == net::status::kGatewayTimeout};
   }
   NoteIndex(response);
   std::string text = response.body;
--- a/src/plugins/sidecar/sidecar_process.cc
+++ b/src/plugins/sidecar/sidecar_process.cc
@@ -6,6 +6,7 @@
 
 #include "libs/links/link_server.h"
 #include "libs/net/http_client.h"
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/telemetry/log.h"
 
@@ -15,7 +16,6 @@
 
 // The engine is on the same VM; a control node waits no longer than this.
 constexpr Duration kEnginePatience = Milliseconds(400);
-constexpr int kBadGateway = 502;
 
 class Process {
  public:
@@ -78,7 +78,7 @@
       const auto& error = std::get<net::HttpError>(result);
       SetReachable(false, error.text);
       client_.DropIdle(engine_);
-      head.status = kBadGateway;
+      head.status = net::status::kBadGateway;
       exchange.Respond(std::move(head), "");
       return;
     }
@@ -108,15 +108,15 @@
 
 int RunSidecar(const settings::CommonSettings& common,
                const settings::SidecarSettings& settings) {
-  const auto key = net::ReadKeyFile(common.key_file);
-  if (!key.has_value()) {
-    std::cerr << "sidecar: can't read a key of at least "
-              << net::LinkAuthenticator::kMinKeyBytes << " bytes from "
-              << common.key_file << "\n";
+  const auto loaded =
+      net::LoadAuthenticator(common.deployment, common.node, common.key_file);
+  if (const auto* error = std::get_if<std::string>(&loaded)) {
+    std::cerr << "sidecar: " << *error << "\n";
     return 1;
   }
-  Process process(settings, std::make_shared<const net::LinkAuthenticator>(
-                                common.deployment, common.node, *key));
+  const auto& authenticator =
+      std::get<std::shared_ptr<const net::LinkAuthenticator>>(loaded);
+  Process process(settings, authenticator);
   process.Run();
   return 0;
 }
