Gateways tell latencies and spans; a fault soak of real processes

Gateways had counters only: an operator could not see what callers wait for. Distributions of the whole time, the first event and the longest pause now stand on the metrics address by service, and each request and each send has a span where trace.file is set. The line of a stream tells its longest pause.

src/tools/soak plays a seeded plan of faults against a deployment of real processes: signals, lost folders, relays that cut, silence, delay and lose answers, planned stops and leaving targets, with callers that keep their connections, operators that change and read, and targets that count runs. A pure ledger judges what they saw. Control nodes have peers.advertise, so that others can reach them through a relay.

--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -347,10 +347,14 @@
       {"operators.listen", scope, AddressKind{true}, Required{},
        "Where operators connect and targets announce themselves.",
        InControl([](S & s) -> auto& { return s.operators_listen; })});
-  specs.push_back({"peers.listen", scope, AddressKind{}, Required{},
-                   "Where the system's other processes connect; also the name "
-                   "of this replica.",
+  specs.push_back({"peers.listen", scope, AddressKind{true}, Required{},
+                   "Where the system's other processes connect.",
                    InControl([](S & s) -> auto& { return s.peers_listen; })});
+  specs.push_back(
+      {"peers.advertise", scope, AddressKind{}, Required{},
+       "The address under which they reach peers.listen; also the name of "
+       "this replica.",
+       InControl([](S & s) -> auto& { return s.peers_advertise; })});
   specs.push_back({"metrics.listen", scope, AddressKind{true}, Required{},
                    "Where counters and histograms are read.",
                    InControl([](S & s) -> auto& { return s.metrics_listen; })});
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -137,6 +137,8 @@
 struct ControlSettings {
   SocketAddress operators_listen;
   SocketAddress peers_listen;
+  // Where others reach it; names the replica.
+  SocketAddress peers_advertise;
   SocketAddress metrics_listen;
   std::vector<SocketAddress> seeds;  // of control nodes
   std::string data_folder;
--- a/src/libs/traffic/event_splitter.cc
+++ b/src/libs/traffic/event_splitter.cc
@@ -32,6 +32,12 @@
   return events;
 }
 
+void EventSplitter::ForgetUnfinished() {
+#if !defined(BILBERRYSPOOL_MUTATION_KEEP_UNFINISHED)
+  pending_.clear();
+#endif
+}
+
 void EventSplitter::NoteIds(std::string_view events) {
   constexpr std::string_view kField = "id:";
   std::size_t start = 0;
--- a/src/libs/traffic/event_splitter.h
+++ b/src/libs/traffic/event_splitter.h
@@ -23,7 +23,7 @@
   // Bytes of an event that has not ended.
   const std::string& unfinished() const { return pending_; }
   // For a new run that goes on after the last whole event.
-  void ForgetUnfinished() { pending_.clear(); }
+  void ForgetUnfinished();
 
  private:
   void NoteIds(std::string_view events);
--- a/src/libs/traffic/relay_rules.cc
+++ b/src/libs/traffic/relay_rules.cc
@@ -13,14 +13,22 @@
   const bool surely_not_run = state.last == SendResult::kNotSent ||
                               state.last == SendResult::kNotExecuted;
   const bool has_time = state.time_left > kLeastTime;
+#if defined(BILBERRYSPOOL_MUTATION_RELAY_REPEATS_ALL)
+  const bool is_repeatable = true;
+#else
   const bool is_repeatable = state.may_repeat || surely_not_run;
+#endif
   if (is_repeatable && has_time && state.sends < state.allowed_sends) {
     return RelayStep::kSendAgain;
   }
   if (state.last == SendResult::kFailed) {
     return RelayStep::kPassFailureOn;
   }
+#if defined(BILBERRYSPOOL_MUTATION_RELAY_REFUSES_ALL)
+  if (has_time) {
+#else
   if (surely_not_run && (state.may_repeat || !state.may_have_run_before)) {
+#endif
     return RelayStep::kRefuse;
   }
   if (!has_time) {
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -142,10 +142,15 @@
   double best_load = 0.0;
   for (auto& [id, target] : targets_) {
     const TargetAnnouncement& told = target.announcement;
-    if (told.service != service || told.standing != Standing::kReady ||
-        told.address.empty() || tried.count(id) > 0) {
+    if (told.service != service || told.address.empty() ||
+        tried.count(id) > 0) {
       continue;
     }
+#if !defined(BILBERRYSPOOL_MUTATION_POOL_SENDS_TO_LEAVING)
+    if (told.standing != Standing::kReady) {
+      continue;
+    }
+#endif
     is_known = true;
     const double most = options_.fullest * told.slots;
     const double load = LoadOf(target, mean_others, now);
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -46,7 +46,7 @@
       settings_(settings),
       hooks_(std::move(hooks)),
       log_("replica"),
-      self_(NameOf(settings.peers_listen)) {}
+      self_(NameOf(settings.peers_advertise)) {}
 
 void ReplicaHost::Register(links::LinkServer& server) {
   // The driver may be replaced, so the call is looked up each time.
@@ -76,7 +76,7 @@
   options.hello_interval = kHelloInterval;
   options.retained_entries = kRetainedEntries;
   for (const settings::SocketAddress& seed : settings_.seeds) {
-    const NodeId peer = NameOf({seed.ip, settings_.peers_listen.port});
+    const NodeId peer = NameOf({seed.ip, settings_.peers_advertise.port});
     options.known_peers.push_back(peer);
     if (settings_.is_first_start) {
       options.initial_voters.push_back(peer);
@@ -252,7 +252,7 @@
   }
   if (members.empty()) {
     for (const settings::SocketAddress& seed : settings_.seeds) {
-      members.push_back({seed.ip, settings_.peers_listen.port});
+      members.push_back({seed.ip, settings_.peers_advertise.port});
     }
   }
   return members;
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -79,6 +79,7 @@
       loop_.OnStopSignal([this] { loop_.Stop(); });
       loop_.OnReloadSignal([this] { loop_.Spawn([this] { Reload(); }); });
       loop_.Spawn([this] { WatchSettings(); });
+      loop_.Spawn([this] { TurnWindows(); });
       loop_.WaitForStop();
       Drain();
       std::_Exit(0);
@@ -163,6 +164,15 @@
     exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
   }
 
+  // Quantiles on the metrics address follow the present.
+  void TurnWindows() {
+    constexpr Duration kWindow = Seconds(10);
+    while (true) {
+      loop_.SleepFor(kWindow);
+      state_.metrics.StartWindows();
+    }
+  }
+
   using Stamp = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
   // Changes when the file is written anew or replaced.
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -1,5 +1,7 @@
 #include "plugins/gateway/gateway_state.h"
 
+#include "libs/telemetry/open_spans.h"
+
 namespace bilberryspool::gateway {
 
 namespace {
@@ -43,7 +45,11 @@
       targets(MakePoolOptions(common), seed),
       client(loop, MakeClientOptions()),
       random(seed + 1),
-      log("gateway") {}
+      log("gateway"),
+      figures(metrics),
+      tracing{telemetry::OpenSpans(common.trace.file, "bilberryspool-gateway",
+                                   common.node.value()),
+              common.trace.sample_permille} {}
 
 limits::RetryBudget& GatewayState::BudgetOf(const ServiceId& service) {
   limits::RetryBudgetOptions options;
@@ -66,12 +72,4 @@
   budgets.clear();
 }
 
-void GatewayState::Count(std::string_view outcome) {
-  metrics
-      .CounterFor(
-          {"bilberryspool_requests_total", "Finished requests by outcome"},
-          {{"outcome", std::string(outcome)}})
-      .Add();
-}
-
 }  // namespace bilberryspool::gateway
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -17,6 +17,8 @@
 #include "libs/traffic/route_table.h"
 #include "libs/traffic/target_pool.h"
 #include "libs/traffic/wire_dialect.h"
+#include "plugins/gateway/request_figures.h"
+#include "plugins/gateway/request_trace.h"
 
 namespace bilberryspool::gateway {
 
@@ -29,7 +31,6 @@
                std::uint64_t seed);
 
   limits::RetryBudget& BudgetOf(const ServiceId& service);
-  void Count(std::string_view outcome);
   // How many gateways a control node has heard of.
   void NoteGateways(std::uint64_t count);
 
@@ -42,6 +43,8 @@
   Random random;
   telemetry::Logger log;
   telemetry::Registry metrics;
+  RequestFigures figures;
+  Tracing tracing;
   std::uint64_t requests_in_progress = 0;
   // The most that were heard of: a control node that is cut off hears fewer,
   // and shares that are too large would break the bound for all.
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -42,6 +42,7 @@
       give_up_at_(arrived_ + kDefaultPatience),
       head_(ReadHead(exchange.request(), state.dialect)),
       routes_(state.routes),
+      trace_(state.tracing, exchange.request().headers, state.random),
       cancellation_(std::make_shared<net::Cancellation>()) {}
 
 void RelayCall::Run() {
@@ -147,10 +148,11 @@
     EndAt(choice, TargetOutcome::kFailed);
     return NotServed{SendResult::kNotSent, "no address"};
   }
-  auto opened = state_.client.Open(
-      *endpoint,
-      MakeTargetRequest(exchange_.request(), forwarded, state_.dialect),
-      patience(), cancellation_);
+  net::HttpRequest request =
+      MakeTargetRequest(exchange_.request(), forwarded, state_.dialect);
+  trace_.StartSend(request);
+  auto opened =
+      state_.client.Open(*endpoint, request, patience(), cancellation_);
   if (const auto* error = std::get_if<net::HttpError>(&opened)) {
     return Judge(choice, *error);
   }
@@ -329,7 +331,8 @@
 
 void RelayCall::Finish(std::string_view outcome, std::string_view why) {
   const TimePoint now = SteadyNow();
-  state_.Count(outcome);
+  state_.figures.Note(service_, outcome, TimesAt(now));
+  trace_.End(head_.request_id, std::string(outcome));
   state_.log.Info(
       "Request.",
       {{"id", head_.request_id},
@@ -343,9 +346,20 @@
        {"first_ms", first_event_at_ == TimePoint{}
                         ? -1
                         : (first_event_at_ - arrived_).count() / 1000},
+       {"pause_ms", longest_pause_.count() / 1000},
        {"ms", (now - arrived_).count() / 1000}});
 }
 
+RequestTimes RelayCall::TimesAt(TimePoint now) const {
+  RequestTimes times;
+  times.whole = now - arrived_;
+  if (first_event_at_ != TimePoint{}) {
+    times.first_event = first_event_at_ - arrived_;
+    times.longest_pause = longest_pause_;
+  }
+  return times;
+}
+
 bool RelayCall::MayRetry() {
   return state_.BudgetOf(service_).TryRetry(Workspace(), SteadyNow());
 }
@@ -374,6 +388,8 @@
 }
 
 void RelayCall::EndAt(const traffic::Choice& choice, TargetOutcome outcome) {
+  trace_.EndSend(choice.target.value(),
+                 outcome == TargetOutcome::kGood ? "" : "not served");
   state_.targets.OnEnded(choice.target, outcome, SteadyNow());
 }
 
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -61,6 +61,7 @@
   Duration patience() const;
   void OnCallerLeft();
   void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
+  RequestTimes TimesAt(TimePoint now) const;
 
   // relay_call_streams.cc
   SendOutcome TakeStream(const traffic::Choice& choice,
@@ -80,6 +81,7 @@
   std::uint32_t sends_ = 0;
   bool may_have_run_ = false;
   bool caller_left_ = false;
+  RequestTrace trace_;
   std::shared_ptr<net::Cancellation> cancellation_;
   net::HttpClientStream* open_stream_ = nullptr;
   // A failure that a target answered, to be passed on as it is.
@@ -88,6 +90,8 @@
   traffic::EventSplitter splitter_;
   bool has_begun_ = false;
   TimePoint first_event_at_;
+  TimePoint last_event_at_;
+  Duration longest_pause_{};
   // What the log line tells of each send.
   std::string trail_;
 };
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -1,5 +1,7 @@
 // RelayCall: answers that come as a series of events.
 
+#include <algorithm>
+
 #include "libs/net/steady_time.h"
 #include "plugins/gateway/relay_call.h"
 
@@ -45,9 +47,14 @@
 // False where the caller is gone.
 bool RelayCall::PassEvents(const net::HttpResponseHead& head,
                            const std::string& events) {
+  const TimePoint now = SteadyNow();
+  if (has_begun_) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   if (!has_begun_) {
     has_begun_ = true;
-    first_event_at_ = SteadyNow();
+    first_event_at_ = now;
     if (!exchange_.BeginStream(MakeCallerHead(head))) {
       return false;
     }
--- a/src/tools/blackhole/relay.cc
+++ b/src/tools/blackhole/relay.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <utility>
@@ -27,8 +28,12 @@
  public:
   RelayedConnection(boost::asio::io_context& io,
                     tcp::socket caller,
+                    const Relay& relay,
                     std::function<void()> on_closed)
       : ends_{End(std::move(caller)), End(tcp::socket(io))},
+        relay_(relay),
+        delay_timer_{boost::asio::steady_timer(io),
+                     boost::asio::steady_timer(io)},
         on_closed_(std::move(on_closed)) {}
 
   void Start(const tcp::endpoint& to) {
@@ -44,6 +49,8 @@
   }
 
   void Silence() { is_silent_ = true; }
+  // Answers get lost.
+  void SilenceAnswers() { is_unanswered_ = true; }
 
   void Close() {
     if (std::exchange(is_closed_, true)) {
@@ -78,10 +85,23 @@
   }
 
   void Pass(std::size_t side, std::size_t size) {
-    if (is_silent_) {
+    if (is_silent_ || (is_unanswered_ && side == 1)) {
       Read(side);
       return;
     }
+    if (relay_.delay() > Duration::zero()) {
+      boost::asio::steady_timer& timer = delay_timer_.at(side);
+      timer.expires_after(relay_.delay());
+      timer.async_wait(
+          [self = shared_from_this(), side, size](const error_code& /*error*/) {
+            self->Write(side, size);
+          });
+      return;
+    }
+    Write(side, size);
+  }
+
+  void Write(std::size_t side, std::size_t size) {
     End& from = ends_.at(side);
     boost::asio::async_write(
         ends_.at(1 - side).socket,
@@ -108,8 +128,11 @@
   }
 
   std::array<End, 2> ends_;
+  const Relay& relay_;
+  std::array<boost::asio::steady_timer, 2> delay_timer_;
   std::function<void()> on_closed_;
   bool is_silent_ = false;
+  bool is_unanswered_ = false;
   bool is_closed_ = false;
 };
 
@@ -156,12 +179,14 @@
   }
   auto slot = std::make_shared<std::weak_ptr<RelayedConnection>>();
   auto connection = std::make_shared<RelayedConnection>(
-      io_, std::move(socket),
+      io_, std::move(socket), *this,
       [this, slot] { connections_.erase(slot->lock()); });
   *slot = connection;
   connections_.insert(connection);
   if (mode_ == NewConnections::kSilent) {
     connection->Silence();
+  } else if (mode_ == NewConnections::kUnanswered) {
+    connection->SilenceAnswers();
   }
   connection->Start(ToTcp(to_));
 }
--- a/src/tools/blackhole/relay.h
+++ b/src/tools/blackhole/relay.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "libs/base/time.h"
 #include "libs/net/endpoint.h"
 
 namespace bilberryspool::blackhole {
@@ -18,7 +19,8 @@
 class RelayedConnection;
 
 // What becomes of a connection that arrives.
-enum class NewConnections { kRelayed, kSilent, kRefused };
+// kUnanswered: what the caller sends arrives, no answer comes back.
+enum class NewConnections { kRelayed, kSilent, kRefused, kUnanswered };
 
 // Belongs to the thread that runs `io`.
 class Relay {
@@ -37,6 +39,9 @@
   // Breaks the present connections off.
   void CutPresent();
   void set_new_connections(NewConnections mode) { mode_ = mode; }
+  // How late each piece arrives from now on, in either direction.
+  void set_delay(Duration delay) { delay_ = delay; }
+  Duration delay() const { return delay_; }
 
   std::size_t open_connections() const { return connections_.size(); }
   std::size_t accepted() const { return accepted_; }
@@ -50,6 +55,7 @@
   net::Endpoint to_;
   boost::asio::ip::tcp::acceptor acceptor_;
   NewConnections mode_ = NewConnections::kRelayed;
+  Duration delay_{};
   std::size_t accepted_ = 0;
   std::set<std::shared_ptr<RelayedConnection>> connections_;
 };
--- /dev/null
+++ b/src/tools/soak/fault_plan.cc
@@ -0,0 +1,147 @@
+#include "tools/soak/fault_plan.h"
+
+#include <algorithm>
+
+#include "libs/base/random.h"
+
+namespace bilberryspool::soak {
+
+namespace {
+
+constexpr Duration kShortestGap = Milliseconds(200);
+constexpr Duration kLongestGap = Milliseconds(2200);
+// In some plays faults are rare, so that each promise that holds only without
+// others beside it is put to the test as well.
+constexpr double kSparseShare = 0.4;
+constexpr Duration kLongestSparseGap = Seconds(7);
+constexpr Duration kShortestFault = Milliseconds(300);
+constexpr Duration kLongestFault = Milliseconds(4500);
+// Long enough for a planned stop and a start after it.
+constexpr Duration kPlannedLength = Seconds(6);
+
+bool Overlap(const Strike& left, const Strike& right, Duration margin) {
+  return left.at < right.end() + margin && right.at < left.end() + margin;
+}
+
+// Whether the strike takes a control node out of those that vote.
+bool LosesControl(FaultKind kind) {
+  return ClassOf(kind) == VictimClass::kControl;
+}
+
+bool Fits(const Strike& strike,
+          const std::vector<Strike>& others,
+          Duration catch_up) {
+  return std::none_of(others.begin(), others.end(), [&](const Strike& other) {
+    if (LosesControl(strike.kind) && LosesControl(other.kind)) {
+      return Overlap(strike, other, catch_up);
+    }
+    const bool same_victim = ClassOf(strike.kind) == ClassOf(other.kind) &&
+                             strike.victim == other.victim;
+    return same_victim && Overlap(strike, other, Duration::zero());
+  });
+}
+
+std::uint32_t VictimsOf(VictimClass victims, const FaultPlanOptions& options) {
+  switch (victims) {
+    case VictimClass::kControl:
+      return options.controls;
+    case VictimClass::kGateway:
+      return options.gateways;
+    case VictimClass::kTarget:
+      return options.targets;
+  }
+  return 1;
+}
+
+}  // namespace
+
+std::string_view NameOf(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kKillControl:
+      return "kill_control";
+    case FaultKind::kWipeControl:
+      return "wipe_control";
+    case FaultKind::kFreezeControl:
+      return "freeze_control";
+    case FaultKind::kStopControl:
+      return "stop_control";
+    case FaultKind::kCutControl:
+      return "cut_control";
+    case FaultKind::kSilenceControl:
+      return "silence_control";
+    case FaultKind::kDelayControl:
+      return "delay_control";
+    case FaultKind::kKillAllControl:
+      return "kill_all_control";
+    case FaultKind::kKillGateway:
+      return "kill_gateway";
+    case FaultKind::kFreezeGateway:
+      return "freeze_gateway";
+    case FaultKind::kStopGateway:
+      return "stop_gateway";
+    case FaultKind::kReloadGateway:
+      return "reload_gateway";
+    case FaultKind::kCrashTarget:
+      return "crash_target";
+    case FaultKind::kCutTarget:
+      return "cut_target";
+    case FaultKind::kSilenceTarget:
+      return "silence_target";
+    case FaultKind::kResetTarget:
+      return "reset_target";
+    case FaultKind::kDelayTarget:
+      return "delay_target";
+    case FaultKind::kOneWayTarget:
+      return "one_way_target";
+    case FaultKind::kDrainTarget:
+      return "drain_target";
+  }
+  return "unknown";
+}
+
+VictimClass ClassOf(FaultKind kind) {
+  if (kind <= FaultKind::kKillAllControl) {
+    return VictimClass::kControl;
+  }
+  return kind <= FaultKind::kReloadGateway ? VictimClass::kGateway
+                                           : VictimClass::kTarget;
+}
+
+bool IsPlanned(FaultKind kind) {
+  return kind == FaultKind::kStopControl || kind == FaultKind::kStopGateway ||
+         kind == FaultKind::kReloadGateway || kind == FaultKind::kDrainTarget;
+}
+
+std::string Strike::ToText() const {
+  constexpr int kMicrosecondsPerMs = 1000;
+  return std::string(NameOf(kind)) + " victim=" + std::to_string(victim) +
+         " at_ms=" + std::to_string(at.count() / kMicrosecondsPerMs) +
+         " length_ms=" + std::to_string(length.count() / kMicrosecondsPerMs);
+}
+
+std::vector<Strike> MakePlan(const FaultPlanOptions& options) {
+  Random random(options.seed);
+  std::vector<Strike> plan;
+  const Duration longest_gap =
+      random.Chance(kSparseShare) ? kLongestSparseGap : kLongestGap;
+  Duration at = random.Between(kShortestGap, kLongestGap);
+  while (at < options.length) {
+    Strike strike;
+    strike.kind = kAllFaultKinds[random.Below(std::size(kAllFaultKinds))];
+    strike.victim = static_cast<std::uint32_t>(
+        random.Below(VictimsOf(ClassOf(strike.kind), options)));
+    strike.at = at;
+    strike.length = random.Between(kShortestFault, kLongestFault);
+    if (strike.kind == FaultKind::kStopGateway ||
+        strike.kind == FaultKind::kDrainTarget) {
+      strike.length = kPlannedLength;
+    }
+    if (strike.end() < options.length && Fits(strike, plan, options.catch_up)) {
+      plan.push_back(strike);
+    }
+    at += random.Between(kShortestGap, longest_gap);
+  }
+  return plan;
+}
+
+}  // namespace bilberryspool::soak
--- /dev/null
+++ b/src/tools/soak/ledger.h
@@ -0,0 +1,162 @@
+// What callers, targets and operators saw, and which promises that breaks.
+//
+// Pure: it is told what happened and when, and judges at the end.
+
+#ifndef TOOLS_SOAK_LEDGER_H_
+#define TOOLS_SOAK_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/time.h"
+#include "libs/traffic/traffic_configuration.h"
+#include "tools/soak/fault_plan.h"
+
+namespace bilberryspool::soak {
+
+// A caller's one try.
+struct CallSent {
+  std::string id;
+  traffic::RequestKind kind = traffic::RequestKind::kNonIdempotent;
+  std::string workspace;
+  std::string path;
+  std::string body;
+  std::uint32_t gateway = 0;
+  Duration patience{};
+  TimePoint at;
+};
+
+enum class CallEnding {
+  kAnswered,  // a whole answer, whatever its status
+  kNotSent,   // no connection
+  kBroken,    // the connection ended without a whole answer
+  kSilent,    // nothing came in all the caller's time and a second more
+  kLeft,      // the caller left by itself
+};
+
+struct CallEnded {
+  CallEnding ending = CallEnding::kSilent;
+  int status = 0;
+  bool is_signed = false;
+  // Of a plain answer: whether the body is the one that belongs to the call.
+  bool is_own_body = true;
+  // Of a stream: the numbers of its events, as they came.
+  std::vector<std::uint32_t> events;
+  bool has_foreign_event = false;
+  TimePoint at;
+};
+
+// A target began to run a request.
+struct RunSeen {
+  std::string id;
+  std::string target;
+  std::uint32_t target_number = 0;
+  std::string workspace;
+  std::string path;
+  std::string body;
+  TimePoint at;
+};
+
+// What a control node answered to an operator.
+struct ConfigurationRead {
+  std::uint64_t version = 0;
+  TimePoint asked_at;
+};
+
+struct Violation {
+  std::string promise;
+  std::string what;
+};
+
+struct LedgerOptions {
+  std::uint32_t events = 20;  // of each stream
+  Duration apply_time = Seconds(2);
+  Duration drain_time = Seconds(2);
+  // How long a failure of a process may show in what others do.
+  Duration aftermath = Seconds(3);
+  double retry_ratio = 0.2;
+  double retry_slack = 94.0;
+  Duration retry_window = Seconds(10);
+  // Share of the calls after the last fault that must be served.
+  double recovered_share = 0.95;
+};
+
+class Ledger {
+ public:
+  explicit Ledger(LedgerOptions options) : options_(options) {}
+
+  void OnSent(CallSent call);
+  void OnEnded(const std::string& id, CallEnded ended);
+  void OnRun(RunSeen run);
+  // A control node has acknowledged that the target leaves.
+  void OnLeaving(const std::string& target, TimePoint at);
+  void OnConfirmed(std::uint64_t version, TimePoint at);
+  void OnRead(const ConfigurationRead& read) { reads_.push_back(read); }
+  // An invalid configuration was accepted, a valid one refused.
+  void OnWrongVerdict(std::string what);
+  // A process ended though nobody ended it.
+  void OnOwnEnd(std::string process);
+  void OnFault(const Strike& strike, TimePoint begun, TimePoint undone);
+  // From here on everything is expected to work.
+  void OnRecovered(TimePoint at) { recovered_at_ = at; }
+
+  std::vector<Violation> Judge() const;
+
+  struct Totals {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    std::size_t broken = 0;
+    std::size_t not_sent = 0;
+    std::size_t failed = 0;
+    std::size_t left = 0;
+    std::size_t runs = 0;
+    std::size_t confirmed = 0;
+  };
+  Totals totals() const;
+
+ private:
+  struct Call {
+    CallSent sent;
+    std::optional<CallEnded> ended;
+    std::vector<RunSeen> runs;
+  };
+  struct Window {
+    Strike strike;
+    TimePoint begun;
+    TimePoint undone;
+  };
+
+  using Violations = std::vector<Violation>;
+  void JudgeEnd(const Call& call, Violations& found) const;
+  void JudgeAnswer(const Call& call, Violations& found) const;
+  void JudgeStream(const Call& call, Violations& found) const;
+  void JudgeRuns(const Call& call, Violations& found) const;
+  void JudgePlannedWork(const Call& call, Violations& found) const;
+  void JudgeLeaving(Violations& found) const;
+  void JudgeReads(Violations& found) const;
+  void JudgeRetries(Violations& found) const;
+  void JudgeRecovery(Violations& found) const;
+  bool IsStruck(VictimClass victims,
+                std::optional<std::uint32_t> victim,
+                bool counts_planned,
+                TimePoint from,
+                TimePoint to) const;
+
+  LedgerOptions options_;
+  std::map<std::string, Call> calls_;
+  std::vector<RunSeen> unasked_;
+  std::map<std::string, TimePoint> leaving_;
+  std::map<std::uint64_t, TimePoint> confirmed_;
+  std::vector<ConfigurationRead> reads_;
+  std::vector<Window> faults_;
+  std::vector<Violation> told_;
+  std::optional<TimePoint> recovered_at_;
+};
+
+}  // namespace bilberryspool::soak
+
+#endif  // TOOLS_SOAK_LEDGER_H_
--- /dev/null
+++ b/src/tools/soak/soak_run.h
@@ -0,0 +1,82 @@
+// One soak: a deployment of real processes under a plan of faults, with
+// callers, targets and operators at work, and the verdict on what they saw.
+
+#ifndef TOOLS_SOAK_SOAK_RUN_H_
+#define TOOLS_SOAK_SOAK_RUN_H_
+
+#include <map>
+#include <memory>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/net/http_client.h"
+#include "libs/net/network_loop.h"
+#include "libs/traffic/wire_dialect.h"
+#include "tools/soak/deployment.h"
+#include "tools/soak/fault_plan.h"
+#include "tools/soak/ledger.h"
+#include "tools/soak/operator_work.h"
+#include "tools/soak/soak_callers.h"
+#include "tools/soak/soak_target.h"
+
+namespace bilberryspool::soak {
+
+struct SoakOptions {
+  FaultPlanOptions plan;
+  DeploymentOptions deployment;
+  std::uint32_t callers = 12;
+};
+
+class SoakRun {
+ public:
+  SoakRun(net::NetworkLoop& loop, SoakOptions options);
+
+  // Empty, or why it could not be played. Blocks the calling fiber.
+  std::string Play();
+  const Ledger& ledger() const { return ledger_; }
+  const std::vector<Strike>& plan() const { return plan_; }
+  // Ends the processes that it has started.
+  void EndAll() { deployment_.processes().KillAll(); }
+  // Peak memory of the processes, a line each.
+  void PrintPeaks(std::ostream& out) const;
+
+ private:
+  std::string StartAll();
+  std::string StartTargets();
+  bool WaitUntilServing(Duration patience);
+  void Play(const Strike& strike);
+  void Begin(const Strike& strike);
+  void Undo(const Strike& strike);
+  void BeginAtControl(const Strike& strike);
+  void UndoAtControl(const Strike& strike);
+  void BeginAtGateway(const Strike& strike);
+  void UndoAtGateway(const Strike& strike);
+  void BeginAtTarget(const Strike& strike);
+  void UndoAtTarget(const Strike& strike);
+  void ResetAgainAndAgain(SoakTarget& target, Duration length);
+  void WatchProcesses();
+  void Restart(const std::string& name);
+  void NotePeak(const std::string& name);
+
+  net::NetworkLoop& loop_;
+  SoakOptions options_;
+  traffic::WireDialect dialect_;
+  std::vector<Strike> plan_;
+  Ledger ledger_;
+  Deployment deployment_;
+  net::HttpClient client_;
+  std::vector<std::unique_ptr<SoakTarget>> targets_;
+  std::unique_ptr<SoakCallers> callers_;
+  std::unique_ptr<OperatorWork> operators_;
+  std::map<std::string, std::uint64_t> peaks_;
+  // Processes that are down because a fault says so.
+  std::set<std::string> down_;
+  std::uint32_t striking_ = 0;
+  bool is_over_ = false;
+};
+
+}  // namespace bilberryspool::soak
+
+#endif  // TOOLS_SOAK_SOAK_RUN_H_
--- /dev/null
+++ b/src/tools/soak/soak_target.h
@@ -0,0 +1,78 @@
+// A target inside the soak: it announces itself, runs requests behind a relay
+// and tells the ledger of each run. It restarts under another name.
+
+#ifndef TOOLS_SOAK_SOAK_TARGET_H_
+#define TOOLS_SOAK_SOAK_TARGET_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/net/http_client.h"
+#include "libs/net/http_server.h"
+#include "libs/net/network_loop.h"
+#include "libs/traffic/target_announcement.h"
+#include "libs/traffic/wire_dialect.h"
+#include "tools/blackhole/relay.h"
+#include "tools/soak/ledger.h"
+
+namespace bilberryspool::soak {
+
+struct SoakTargetOptions {
+  std::uint32_t number = 0;
+  ServiceId service;
+  bool is_engine = false;  // streams events
+  net::Endpoint listen;
+  net::Endpoint advertise;  // of the relay in front
+  std::vector<net::Endpoint> control;
+  std::uint32_t events = 20;
+  Duration event_gap = Milliseconds(25);
+  Duration plain_work = Milliseconds(60);
+  Duration announcement_interval = Milliseconds(300);
+};
+
+class SoakTarget {
+ public:
+  SoakTarget(net::NetworkLoop& loop,
+             SoakTargetOptions options,
+             const traffic::WireDialect& dialect,
+             Ledger& ledger);
+
+  // Empty, or what went wrong.
+  std::string Start();
+
+  blackhole::Relay& relay() { return relay_; }
+  // Falls dead without a word.
+  void Crash();
+  // The next life, under another name.
+  void Restart();
+  // Tells that it leaves, goes on for the drain time once that is confirmed,
+  // and withdraws.
+  void Drain();
+
+ private:
+  void Beat();
+  // Whether a control node has taken it.
+  bool Tell(const net::HttpRequest& call);
+  void Handle(net::HttpExchange& exchange);
+  void Run(net::HttpExchange& exchange);
+  net::HttpResponseHead SignedHead(const net::HttpRequest& request) const;
+  void StreamEvents(net::HttpExchange& exchange, std::uint32_t life);
+
+  net::NetworkLoop& loop_;
+  SoakTargetOptions options_;
+  const traffic::WireDialect& dialect_;
+  Ledger& ledger_;
+  net::HttpClient client_;
+  net::HttpServer server_;
+  blackhole::Relay relay_;
+  traffic::TargetAnnouncement told_;
+  std::size_t control_at_ = 0;
+  std::uint32_t life_ = 0;
+  bool is_alive_ = true;
+};
+
+}  // namespace bilberryspool::soak
+
+#endif  // TOOLS_SOAK_SOAK_TARGET_H_
--- a/tests/processes/platform/platform_test.sh
+++ b/tests/processes/platform/platform_test.sh
@@ -18,6 +18,7 @@
 log.file = "-"
 operators.listen = "127.0.0.$i:${P}10"
 peers.listen = "127.0.0.$i:${P}20"
+peers.advertise = "127.0.0.$i:${P}20"
 metrics.listen = "127.0.0.$i:${P}30"
 control.seeds = ["127.0.0.1:${P}10", "127.0.0.2:${P}10", "127.0.0.3:${P}10"]
 control.first_start = ${FIRST_START:-true}
