Gateways leave silent targets and wait for forming groups; map changes settle at once

Cause, each from a trace: - A target whose VM is frozen kept getting requests for as long as it counted as ready: a request that its caller had left counted as no failure. TargetHearing tells which targets are silent while others of their service answer; requests that may move on do so after a second, new ones go elsewhere. The node that leads a group asks each rank four times a second and tells gateways of those that do not answer. - A request refused half a second before its group works again came back too late. GroupOutlook knows from the return of a rank, or of a cut control node, that a group is about to form; requests wait for that, 1.2 s at most. A broken group is not asked twice for one request. - A change of map was over 0.3 to 0.67 s later than the ranks had it: reports were asked each second in the calm, and the first one after the release came when the old second was over. The switch is put at the next step that can be reached. - Refused callers are told to use nearly all of the third of their time that they honour.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -233,11 +233,12 @@
 }
 
 void StepSwitch::ChooseStep(TimePoint now) {
-  const Duration since = now - checked_at_ + options_.lead;
+  // The step that was seen last began at `seen_at_` or before. Refused holds
+  // tell that the group was further than thought.
+  const Duration since = now - seen_at_ + options_.lead;
   const double ahead = ToSeconds(since) / ToSeconds(step_time_);
-  constexpr double kLeastSteps = 1.0;
   const double steps =
-      std::ceil(ahead + kLeastSteps) * static_cast<double>(1U << late_holds_);
+      std::ceil(std::max(ahead, 1.0)) * static_cast<double>(1U << late_holds_);
   step_ = StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
 }
 
--- /dev/null
+++ b/src/libs/traffic/group_outlook.cc
@@ -0,0 +1,82 @@
+#include "libs/traffic/group_outlook.h"
+
+#include <algorithm>
+
+namespace bilberryspool::traffic {
+
+void GroupOutlook::Note(const TargetAnnouncement& told,
+                        bool has_returned,
+                        TimePoint now) {
+  if (!told.group.has_value() || told.standing != Standing::kReady) {
+    return;
+  }
+  Group& group = groups_[told.service][told.group->group];
+  if (told.group->epoch < group.epoch) {
+    // A rank that has not heard of the newer epoch, or has just started.
+    if (has_returned && !group.is_open) {
+      group.returned_at = now;
+    }
+    return;
+  }
+  const bool is_newer = told.group->epoch > group.epoch;
+  const bool was_open = group.is_open;
+  group.epoch = told.group->epoch;
+  // Within one epoch a group that has broken does not open again.
+  group.is_open = told.group->is_open && (is_newer || was_open);
+  if (group.is_open) {
+    group.returned_at.reset();
+  } else if (has_returned) {
+    group.returned_at = now;
+  }
+}
+
+void GroupOutlook::NoteReturn(TimePoint now) {
+  for (auto& [service, groups] : groups_) {
+    for (auto& [id, group] : groups) {
+      if (!group.is_open) {
+        group.returned_at = now;
+      }
+    }
+  }
+}
+
+void GroupOutlook::NoteServed(const ServiceId& service) {
+  const auto found = groups_.find(service);
+  // With several groups it is not known which one served.
+  if (found != groups_.end() && found->second.size() == 1) {
+    Group& group = found->second.begin()->second;
+    group.is_open = true;
+    group.returned_at.reset();
+  }
+}
+
+Outlook GroupOutlook::OutlookOf(const ServiceId& service, TimePoint now) const {
+  const auto found = groups_.find(service);
+  if (found == groups_.end()) {
+    return Outlook::kOpen;
+  }
+  const auto& groups = found->second;
+  const bool any_open =
+      std::any_of(groups.begin(), groups.end(),
+                  [](const auto& item) { return item.second.is_open; });
+  if (any_open) {
+    return Outlook::kOpen;
+  }
+  return now < forms_until(service) ? Outlook::kForming : Outlook::kBroken;
+}
+
+TimePoint GroupOutlook::forms_until(const ServiceId& service) const {
+  TimePoint until;
+  const auto found = groups_.find(service);
+  if (found == groups_.end()) {
+    return until;
+  }
+  for (const auto& [id, group] : found->second) {
+    if (!group.is_open && group.returned_at.has_value()) {
+      until = std::max(until, *group.returned_at + options_.forming);
+    }
+  }
+  return until;
+}
+
+}  // namespace bilberryspool::traffic
--- /dev/null
+++ b/src/libs/traffic/group_outlook.h
@@ -0,0 +1,64 @@
+// Whether the lock-step group behind a service works, and if not whether it is
+// about to.
+//
+// One lost rank stops its whole group for seconds. A request that is refused
+// just before the group forms anew comes back too late for its caller, and one
+// that is sent there meanwhile is only refused by the engine. Groups form
+// within a known time of the return of the last rank; that return shows, as a
+// new target with a place in the group, as a target that was silent, or as a
+// control node that was cut off and answers again.
+//
+// Pure: events and `now` in, decisions out.
+
+#ifndef LIBS_TRAFFIC_GROUP_OUTLOOK_H_
+#define LIBS_TRAFFIC_GROUP_OUTLOOK_H_
+
+#include <map>
+#include <optional>
+
+#include "libs/base/time.h"
+#include "libs/traffic/target_announcement.h"
+
+namespace bilberryspool::traffic {
+
+enum class Outlook {
+  kOpen,     // works, or nothing is known to the contrary
+  kForming,  // about to work
+  kBroken,
+};
+
+struct GroupOutlookOptions {
+  // From the return of the last rank until the group works: what engines take
+  // to form, and the way of the news here.
+  Duration forming = Milliseconds(900);
+};
+
+class GroupOutlook {
+ public:
+  explicit GroupOutlook(GroupOutlookOptions options) : options_(options) {}
+
+  // News of a target. `has_returned`: it was not known, or was silent.
+  void Note(const TargetAnnouncement& told, bool has_returned, TimePoint now);
+  // A part of the system is reachable again.
+  void NoteReturn(TimePoint now);
+  // A request was served there: whatever was told before, it works.
+  void NoteServed(const ServiceId& service);
+
+  Outlook OutlookOf(const ServiceId& service, TimePoint now) const;
+  // While it is forming: when that is over.
+  TimePoint forms_until(const ServiceId& service) const;
+
+ private:
+  struct Group {
+    std::uint64_t epoch = 0;
+    bool is_open = true;
+    std::optional<TimePoint> returned_at;  // while it is broken
+  };
+
+  GroupOutlookOptions options_;
+  std::map<ServiceId, std::map<GroupId, Group>> groups_;
+};
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_GROUP_OUTLOOK_H_
--- /dev/null
+++ b/src/libs/traffic/target_hearing.h
@@ -0,0 +1,71 @@
+// Which targets have fallen silent while others of their service answer.
+//
+// A target whose VM is frozen or cut off still counts as ready for seconds: it
+// announced itself a moment ago, and its connections stay open. Requests that
+// are sent there wait until their callers leave. It shows in that nothing comes
+// from it, though requests wait there and others answer; where all are silent,
+// as in a group that stands still, none of them is a better place to go.
+//
+// Pure: events and `now` in, decisions out.
+
+#ifndef LIBS_TRAFFIC_TARGET_HEARING_H_
+#define LIBS_TRAFFIC_TARGET_HEARING_H_
+
+#include <cstdint>
+#include <map>
+
+#include "libs/base/ids.h"
+#include "libs/base/time.h"
+
+namespace bilberryspool::traffic {
+
+struct TargetHearingOptions {
+  // Silence is suspect after this long, or after so many times the usual time
+  // to the first byte of an answer, whichever is longer. Callers of streams
+  // leave after two seconds without an event, so one second leaves another
+  // target one more.
+  Duration least_silence = Milliseconds(1000);
+  double usual_times = 4.0;
+  // Another target must have been heard as lately as this.
+  Duration others_within = Milliseconds(300);
+  // Weight of the newest answer in the usual time.
+  double newest_weight = 0.1;
+};
+
+class TargetHearing {
+ public:
+  explicit TargetHearing(TargetHearingOptions options) : options_(options) {}
+
+  // One more request waits at the target.
+  void OnSent(const TargetId& target, const ServiceId& service, TimePoint now);
+  // A byte came from the target.
+  void OnHeard(const TargetId& target, TimePoint now);
+  // The first byte of an answer came, so long after it was asked for.
+  void OnFirstByte(const TargetId& target, Duration waited, TimePoint now);
+  void OnEnded(const TargetId& target);
+
+  bool IsSuspect(const TargetId& target, TimePoint now) const;
+
+ private:
+  struct Target {
+    ServiceId service;
+    std::uint32_t waiting = 0;
+    // When it was last heard, or when the first of those that wait was sent.
+    TimePoint quiet_since;
+  };
+  struct Service {
+    // The two targets heard last: the one in question may be the last.
+    TargetId last_heard;
+    TimePoint last_heard_at;
+    TimePoint other_heard_at;
+    Duration usual{};
+  };
+
+  TargetHearingOptions options_;
+  std::map<TargetId, Target> targets_;  // those where requests wait
+  std::map<ServiceId, Service> services_;
+};
+
+}  // namespace bilberryspool::traffic
+
+#endif  // LIBS_TRAFFIC_TARGET_HEARING_H_
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -10,6 +10,9 @@
 // are heard, a resting one after all that are not.
 constexpr double kSilentCost = 100.0;
 constexpr double kRestingCost = 10.0;
+// One that has fallen silent comes after those that answer, but is no reason
+// to refuse.
+constexpr double kSuspectCost = 5.0;
 // Another failure domain costs little: a hop more, and bytes between domains.
 constexpr double kOtherDomainCost = 0.02;
 // For each time that a target is slower than a healthy one; a group steps as
@@ -54,6 +57,7 @@
   TargetAnnouncement& known = target.announcement;
   const Standing standing = std::max(known.standing, told.standing);
   const bool is_new = known.target != told.target;
+  const bool was_silent = !is_new && target.is_silent();
   // A withdrawal says nothing but the name.
   const bool has_details = !told.address.empty();
   if (has_details && (is_new || told.sequence >= known.sequence)) {
@@ -63,6 +67,8 @@
   known.standing = standing;
   target.silent_at[source] = record.is_silent;
   target.changed_at = now;
+  const bool has_returned = is_new || (was_silent && !target.is_silent());
+  outlook_.Note(known, has_returned, now);
 }
 
 void TargetPool::Forget(TimePoint now) {
@@ -124,7 +130,12 @@
   if (now < target.rests_until) {
     cost += kRestingCost;
   }
-  cost += std::min(kSlowCost * (PaceOf(target) - 1.0), kMostSlowCost);
+  const double pace = PaceOf(target);
+  if (pace >= kMissingPace ||
+      hearing_.IsSuspect(target.announcement.target, now)) {
+    cost += kSuspectCost;
+  }
+  cost += std::min(kSlowCost * (pace - 1.0), kMostSlowCost);
   if (target.announcement.domain != options_.domain) {
     cost += kOtherDomainCost;
   }
@@ -174,6 +185,7 @@
     return has_full ? NoChoice::kFull : NoChoice::kResting;
   }
   ++best->in_flight;
+  hearing_.OnSent(best->announcement.target, service, now);
   return Choice{best->announcement.target, best->announcement.address,
                 best_load, best->announcement.slots};
 }
@@ -185,6 +197,7 @@
   if (found == targets_.end()) {
     return;
   }
+  hearing_.OnEnded(id);
   Target& target = found->second;
   target.in_flight -= std::min<std::uint32_t>(target.in_flight, 1);
   switch (outcome) {
@@ -210,6 +223,16 @@
                                       options_.longest_rest);
 }
 
+void TargetPool::OnFirstByte(const TargetId& id,
+                             Duration waited,
+                             TimePoint now) {
+  hearing_.OnFirstByte(id, waited, now);
+  const auto found = targets_.find(id);
+  if (found != targets_.end()) {
+    outlook_.NoteServed(found->second.announcement.service);
+  }
+}
+
 void TargetPool::OnLoad(const TargetId& id,
                         std::uint32_t running,
                         std::uint32_t waiting,
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -20,10 +20,15 @@
 #include <vector>
 
 #include "libs/base/random.h"
+#include "libs/traffic/group_outlook.h"
 #include "libs/traffic/target_book.h"
+#include "libs/traffic/target_hearing.h"
 
 namespace bilberryspool::traffic {
 
+// Told as the pace of a target that answers nobody, slower than any that works.
+constexpr double kMissingPace = 1000.0;
+
 struct TargetPoolOptions {
   FailureDomain domain;
   // A target that failed is not chosen for this long, twice as long at each
@@ -98,6 +103,24 @@
               std::uint32_t waiting,
               TimePoint now);
 
+  // The first byte of a good answer came, so long after it was asked for.
+  void OnFirstByte(const TargetId& target, Duration waited, TimePoint now);
+  void OnHeard(const TargetId& target, TimePoint now) {
+    hearing_.OnHeard(target, now);
+  }
+  // Whether it has fallen silent while others of its service answer.
+  bool IsSuspect(const TargetId& target, TimePoint now) const {
+    return hearing_.IsSuspect(target, now);
+  }
+  // A part of the system is reachable again.
+  void NoteReturn(TimePoint now) { outlook_.NoteReturn(now); }
+  Outlook OutlookOf(const ServiceId& service, TimePoint now) const {
+    return outlook_.OutlookOf(service, now);
+  }
+  TimePoint forms_until(const ServiceId& service) const {
+    return outlook_.forms_until(service);
+  }
+
   struct Counts {
     std::size_t ready = 0;
     std::size_t leaving = 0;
@@ -141,6 +164,8 @@
   TargetPoolOptions options_;
   Random random_;
   std::map<TargetId, Target> targets_;
+  TargetHearing hearing_{TargetHearingOptions{}};
+  GroupOutlook outlook_{GroupOutlookOptions{}};
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -49,6 +49,15 @@
   return "unknown";
 }
 
+// "NAME/RANK epoch N open"; empty without a group.
+std::string GroupText(const std::optional<traffic::GroupMembership>& group) {
+  if (!group.has_value()) {
+    return "";
+  }
+  return group->group.value() + "/" + std::to_string(group->rank) + " epoch " +
+         std::to_string(group->epoch) + (group->is_open ? " open" : " broken");
+}
+
 }  // namespace
 
 ControlNode::ControlNode(
@@ -266,6 +275,7 @@
              {"service", announcement.service.value()},
              {"address", announcement.address},
              {"standing", StandingName(announcement.standing)},
+             {"group", GroupText(announcement.group)},
              {"sequence", announcement.sequence}});
   changed_.NotifyAll();
   if (announcement.standing != traffic::Standing::kReady) {
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -7,6 +7,7 @@
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/placement/bounded_plan.h"
+#include "libs/traffic/target_pool.h"
 
 namespace bilberryspool::control_node {
 
@@ -18,7 +19,14 @@
 // Reports a second of one group while a change settles: what a control node of
 // 0.15 of a core can ask and read beside its other work.
 constexpr double kReportsPerSecond = 400.0;
-constexpr Duration kIdleReports = Milliseconds(1000);
+// How often each rank is asked in the calm: often enough to tell soon that one
+// does not answer, within a part of those reports.
+constexpr Duration kIdleReports = Milliseconds(250);
+constexpr double kIdleShare = 0.4;
+// A rank that has not answered for this long while most others have is taken
+// for cut off or frozen. Callers that are sent there would wait for nothing
+// until each gateway has noticed by itself.
+constexpr Duration kMissing = Milliseconds(600);
 constexpr Duration kReportPatience = Milliseconds(300);
 constexpr Duration kOrderPatience = Milliseconds(200);
 // A sidecar that did not answer is not asked again for this long.
@@ -28,7 +36,7 @@
 constexpr Duration kReportLag = Milliseconds(300);
 // How often picks are read, and from how many ranks in turn. Requests fall on
 // ranks alike, so one shows what is in demand.
-constexpr Duration kPicksInterval = Milliseconds(120);
+constexpr Duration kPicksInterval = Milliseconds(60);
 constexpr std::uint32_t kSampledRanks = 3;
 // Below this many counts the shares of rare experts are noise.
 constexpr double kLeastWeight = 20'000.0;
@@ -174,15 +182,23 @@
                                                 kMicrosecondsPerSecond));
 }
 
+// Whether the phase ends by what the ranks report.
+bool GroupTask::is_watched() const {
+  return switch_.phase() == SwitchPhase::kObserving ||
+         switch_.phase() == SwitchPhase::kSettling;
+}
+
 void GroupTask::Tick() {
   if (!has_all_ranks()) {
     return;
   }
   const TimePoint now = SteadyNow();
   if (now >= reports_due_) {
-    const bool is_watched = switch_.phase() == SwitchPhase::kObserving ||
-                            switch_.phase() == SwitchPhase::kSettling;
-    reports_due_ = now + (is_watched ? busy_interval() : kIdleReports);
+    const Duration idle = std::max(
+        kIdleReports,
+        Duration(static_cast<Duration::rep>(
+            static_cast<double>(busy_interval().count()) / kIdleShare)));
+    reports_due_ = now + (is_watched() ? busy_interval() : idle);
     AskReports();
   }
   if (now >= picks_due_) {
@@ -220,6 +236,10 @@
                              {"why", switch_.why()}});
   last_phase_ = switch_.phase();
   phase_since_ = now;
+  if (is_watched()) {
+    // What was due in the calm before would come up to a second late.
+    reports_due_ = now;
+  }
 }
 
 void GroupTask::AskReports() {
@@ -230,6 +250,7 @@
       const auto report = protocol_.read_report(answer.body);
       if (report.has_value()) {
         paces_[rank] = report->pace;
+        heard_at_[rank] = SteadyNow();
         loads_at_[rank] = report->running + report->waiting;
         switch_.OnReport(rank, *report, answer.as_of);
         Pump();
@@ -261,6 +282,20 @@
       by_address[addresses_.at(rank).ToString()] = std::round(pace * 2.0) / 2.0;
     }
   }
+  const TimePoint now = SteadyNow();
+  std::vector<RankIndex> missing;
+  for (const auto& [rank, heard_at] : heard_at_) {
+    if (now - heard_at > kMissing) {
+      missing.push_back(rank);
+    }
+  }
+  // Where most are missing, it is this node that is cut off.
+  if (missing.size() * 2 >= heard_at_.size()) {
+    return;
+  }
+  for (const RankIndex rank : missing) {
+    by_address[addresses_.at(rank).ToString()] = traffic::kMissingPace;
+  }
 }
 
 // Whoever takes a group over has to learn what the map in use holds.
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -42,7 +42,7 @@
   void Tick();
   std::uint32_t ranks() const { return ranks_; }
   // Adds the ranks that are slow, by address, with how many times as long as
-  // a healthy one they take.
+  // a healthy one they take, and those that do not answer (kMissingPace).
   void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
@@ -59,6 +59,7 @@
              Duration patience);
   void Pump();
   Duration busy_interval() const;
+  bool is_watched() const;
   void AskReports();
   void AskPicks();
   void ReadMap();
@@ -83,6 +84,7 @@
   placement::RecentLoads loads_;
   // How many times as long as a healthy rank each one takes.
   std::map<RankIndex, double> paces_;
+  std::map<RankIndex, TimePoint> heard_at_;
   // Requests that run or wait there.
   std::map<RankIndex, std::uint32_t> loads_at_;
   groups::SwitchPhase last_phase_ = groups::SwitchPhase::kObserving;
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -69,6 +69,9 @@
       node->is_reachable = is_reachable;
       log_.Info(is_reachable ? "Control node regained." : "Control node lost.",
                 {{"node", node->endpoint.ToString()}});
+      if (is_reachable) {
+        state_.targets.NoteReturn(SteadyNow());
+      }
     }
     if (is_reachable) {
       reachable_.insert(node->endpoint);
@@ -156,6 +159,7 @@
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole,
                         answer.targets, now);
   state_.targets.SetSlow(node.endpoint.ToString(), answer.slow_targets);
+  state_.news.NotifyAll();
   if (answer.is_leader && answer.version > 0) {
     has_heard_leader_ = true;
   }
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <tuple>
+#include <vector>
 
 #include "libs/net/http_server.h"
 #include "libs/net/http_status.h"
@@ -80,6 +81,7 @@
       loop_.OnReloadSignal([this] { loop_.Spawn([this] { Reload(); }); });
       loop_.Spawn([this] { WatchSettings(); });
       loop_.Spawn([this] { TurnWindows(); });
+      loop_.Spawn([this] { WatchTargets(); });
       loop_.WaitForStop();
       Drain();
       std::_Exit(0);
@@ -173,6 +175,20 @@
     }
   }
 
+  // Requests at targets that have fallen silent go on elsewhere.
+  void WatchTargets() {
+    constexpr Duration kPoll = Milliseconds(100);
+    while (true) {
+      loop_.SleepFor(kPoll);
+      const TimePoint now = SteadyNow();
+      const std::vector<RelayCall*> waiting(state_.waiting.begin(),
+                                            state_.waiting.end());
+      for (RelayCall* call : waiting) {
+        call->LeaveIfSilent(now);
+      }
+    }
+  }
+
   using Stamp = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 
   // Changes when the file is written anew or replaced.
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -47,7 +47,8 @@
       random(seed + 1),
       log("gateway"),
       figures(metrics),
-      tracing{telemetry::OpenSpans(common.trace.file, "bilberryspool-gateway",
+      tracing{telemetry::OpenSpans(common.trace.file,
+                                   "bilberryspool-gateway",
                                    common.node.value()),
               common.trace.sample_permille} {}
 
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "libs/base/random.h"
 #include "libs/limits/retry_budget.h"
+#include "libs/net/fiber_signal.h"
 #include "libs/net/http_client.h"
 #include "libs/settings/settings.h"
 #include "libs/telemetry/log.h"
@@ -22,6 +24,8 @@
 
 namespace bilberryspool::gateway {
 
+class RelayCall;
+
 // Belongs to the gateway's loop.
 struct GatewayState {
   GatewayState(net::NetworkLoop& loop,
@@ -41,6 +45,10 @@
   traffic::TargetPool targets;
   net::HttpClient client;
   Random random;
+  // Wakes those who wait for something that control nodes tell.
+  net::FiberSignal news;
+  // Requests whose target has not answered yet, or is in the middle of it.
+  std::set<RelayCall*> waiting;
   telemetry::Logger log;
   telemetry::Registry metrics;
   RequestFigures figures;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -19,6 +19,9 @@
 // Where nothing else tells when a place will be free.
 constexpr Duration kComeBack = Milliseconds(1000);
 
+// What is kept back of a caller's time for the answer.
+constexpr Duration kAnswerTime = Milliseconds(50);
+
 // A request whose caller names no time and whose route is unknown yet.
 constexpr Duration kDefaultPatience = Seconds(8);
 
@@ -80,6 +83,10 @@
 void RelayCall::Relay() {
   state_.BudgetOf(service_).OnFirstAttempt(Workspace(), arrived_);
   while (true) {
+    if (!AwaitGroup()) {
+      Finish("caller_left", "while the group was forming");
+      return;
+    }
     const auto chosen = state_.targets.Choose(service_, tried_, SteadyNow());
     if (const auto* why = std::get_if<traffic::NoChoice>(&chosen)) {
       AnswerNoTarget(*why);
@@ -103,24 +110,7 @@
       return;
     }
     const auto& failed = std::get<NotServed>(outcome);
-    traffic::RelayState relay;
-    relay.may_repeat = match_.route->may_repeat();
-    relay.last = failed.result;
-    relay.may_have_run_before = may_have_run_;
-    relay.sends = sends_;
-    relay.allowed_sends = match_.route->attempts;
-    relay.time_left = time_left();
-    RelayStep step = traffic::NextStep(relay);
-    if (step == RelayStep::kSendAgain &&
-        failed.result != SendResult::kNotSent && !MayRetry()) {
-      trail_ += "(budget)";
-      relay.allowed_sends = sends_;
-      step = traffic::NextStep(relay);
-    }
-    if (failed.result == SendResult::kFailed ||
-        failed.result == SendResult::kUnknown) {
-      may_have_run_ = true;
-    }
+    const RelayStep step = StepAfter(failed);
     if (step != RelayStep::kSendAgain) {
       AnswerStep(step, failed.why);
       return;
@@ -128,6 +118,51 @@
   }
 }
 
+// Callers of a group that is about to form wait for it: refused now, they would
+// come back seconds later. False where the caller has left.
+bool RelayCall::AwaitGroup() {
+  // A group that fails to form is no reason to keep anyone waiting.
+  constexpr Duration kLongestWait = Milliseconds(1200);
+  const TimePoint limit =
+      std::min(SteadyNow() + kLongestWait, give_up_at_ - kAnswerTime);
+  while (!caller_left_ && SteadyNow() < limit &&
+         state_.targets.OutlookOf(service_, SteadyNow()) ==
+             traffic::Outlook::kForming) {
+    state_.news.WaitUntil(
+        std::min(limit, state_.targets.forms_until(service_)));
+  }
+  return !caller_left_;
+}
+
+RelayStep RelayCall::StepAfter(const NotServed& failed) {
+  traffic::RelayState relay;
+  relay.may_repeat = match_.route->may_repeat();
+  relay.last = failed.result;
+  relay.may_have_run_before = may_have_run_;
+  relay.sends = sends_;
+  relay.allowed_sends = match_.route->attempts;
+  relay.time_left = time_left();
+  // All ranks of a broken group refuse alike.
+  if (failed.result == SendResult::kNotExecuted &&
+      state_.targets.OutlookOf(service_, SteadyNow()) ==
+          traffic::Outlook::kBroken) {
+    trail_ += "(group broken)";
+    relay.allowed_sends = sends_;
+  }
+  RelayStep step = traffic::NextStep(relay);
+  if (step == RelayStep::kSendAgain && failed.result != SendResult::kNotSent &&
+      !MayRetry()) {
+    trail_ += "(budget)";
+    relay.allowed_sends = sends_;
+    step = traffic::NextStep(relay);
+  }
+  if (failed.result == SendResult::kFailed ||
+      failed.result == SendResult::kUnknown) {
+    may_have_run_ = true;
+  }
+  return step;
+}
+
 RelayCall::SendOutcome RelayCall::SendTo(const traffic::Choice& choice) {
   trail_ += (trail_.empty() ? "" : ";") + choice.target.value() + "@" +
             choice.address +
@@ -148,11 +183,24 @@
     EndAt(choice, TargetOutcome::kFailed);
     return NotServed{SendResult::kNotSent, "no address"};
   }
+  asked_ = choice.target;
+  has_left_target_ = false;
+  cancellation_ = std::make_shared<net::Cancellation>();
+  state_.waiting.insert(this);
+  SendOutcome outcome = Send(choice, *endpoint, forwarded);
+  state_.waiting.erase(this);
+  return outcome;
+}
+
+RelayCall::SendOutcome RelayCall::Send(const traffic::Choice& choice,
+                                       const net::Endpoint& endpoint,
+                                       const ForwardedHead& forwarded) {
+  const TimePoint sent_at = SteadyNow();
   net::HttpRequest request =
       MakeTargetRequest(exchange_.request(), forwarded, state_.dialect);
   trace_.StartSend(request);
   auto opened =
-      state_.client.Open(*endpoint, request, patience(), cancellation_);
+      state_.client.Open(endpoint, request, patience(), cancellation_);
   if (const auto* error = std::get_if<net::HttpError>(&opened)) {
     return Judge(choice, *error);
   }
@@ -161,6 +209,8 @@
   SendOutcome outcome = JudgeHead(choice, stream.head());
   if (const auto* failed = std::get_if<NotServed>(&outcome);
       failed == nullptr) {
+    state_.targets.OnFirstByte(choice.target, SteadyNow() - sent_at,
+                               SteadyNow());
     const bool is_stream = match_.route->kind == traffic::RequestKind::kStream;
     outcome = is_stream && IsEventStream(stream.head())
                   ? TakeStream(choice, stream)
@@ -174,10 +224,16 @@
 RelayCall::SendOutcome RelayCall::Judge(const traffic::Choice& choice,
                                         const net::HttpError& error) {
   if (caller_left_) {
-    EndAt(choice, TargetOutcome::kGood);
+    // Its caller's patience says nothing of a target, its own silence does.
+    const bool is_silent = state_.targets.IsSuspect(choice.target, SteadyNow());
+    EndAt(choice, is_silent ? TargetOutcome::kFailed : TargetOutcome::kGood);
     return CallerLeft{};
   }
   EndAt(choice, TargetOutcome::kFailed);
+  if (has_left_target_) {
+    trail_ += " silent";
+    return NotServed{SendResult::kUnknown, "the target fell silent"};
+  }
   const bool is_unsent = error.kind == net::HttpErrorKind::kConnect;
   trail_ += is_unsent ? " unreachable" : " no_head:" + error.text;
   return NotServed{is_unsent ? SendResult::kNotSent : SendResult::kUnknown,
@@ -302,8 +358,8 @@
 // them now, a group that forms anew or a queue that drains, takes seconds, so
 // they are asked to use most of that third.
 Duration RelayCall::ComeBackLater() {
-  constexpr double kEarliest = 0.2;
-  constexpr double kLatest = 0.32;
+  constexpr double kEarliest = 0.3;
+  constexpr double kLatest = 0.33;
   const double share =
       kEarliest + (kLatest - kEarliest) * state_.random.Fraction();
   const double left = ToSeconds(head_.patience.value_or(kDefaultPatience));
@@ -380,6 +436,10 @@
 // Runs on the loop's dispatcher, which must not be suspended.
 void RelayCall::OnCallerLeft() {
   caller_left_ = true;
+  BreakOff();
+}
+
+void RelayCall::BreakOff() {
   if (open_stream_ != nullptr) {
     open_stream_->Cancel();
     return;
@@ -387,6 +447,16 @@
   cancellation_->Cancel();
 }
 
+void RelayCall::LeaveIfSilent(TimePoint now) {
+  const bool may_move_on =
+      match_.route->may_repeat() && sends_ < match_.route->attempts;
+  if (may_move_on && !caller_left_ && !has_left_target_ &&
+      state_.targets.IsSuspect(asked_, now)) {
+    has_left_target_ = true;
+    BreakOff();
+  }
+}
+
 void RelayCall::EndAt(const traffic::Choice& choice, TargetOutcome outcome) {
   trace_.EndSend(choice.target.value(),
                  outcome == TargetOutcome::kGood ? "" : "not served");
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -26,6 +26,10 @@
 
   void Run();
 
+  // Breaks the present send off where its target has fallen silent and another
+  // one may be asked.
+  void LeaveIfSilent(TimePoint now);
+
  private:
   // A target's whole answer that is passed on.
   struct Answered {};
@@ -43,7 +47,12 @@
   // relay_call.cc
   bool Admit();
   void Relay();
+  bool AwaitGroup();
+  traffic::RelayStep StepAfter(const NotServed& failed);
   SendOutcome SendTo(const traffic::Choice& choice);
+  SendOutcome Send(const traffic::Choice& choice,
+                   const net::Endpoint& endpoint,
+                   const ForwardedHead& forwarded);
   SendOutcome Judge(const traffic::Choice& choice, const net::HttpError& error);
   SendOutcome JudgeHead(const traffic::Choice& choice,
                         const net::HttpResponseHead& head);
@@ -60,6 +69,7 @@
   // How long the next sign of a target may take.
   Duration patience() const;
   void OnCallerLeft();
+  void BreakOff();
   void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
   RequestTimes TimesAt(TimePoint now) const;
 
@@ -81,6 +91,9 @@
   std::uint32_t sends_ = 0;
   bool may_have_run_ = false;
   bool caller_left_ = false;
+  // The target of the present send, and whether it was left as silent.
+  TargetId asked_;
+  bool has_left_target_ = false;
   RequestTrace trace_;
   std::shared_ptr<net::Cancellation> cancellation_;
   net::HttpClientStream* open_stream_ = nullptr;
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -21,6 +21,7 @@
   while (true) {
     net::StreamPiece piece = stream.Read(patience());
     if (const auto* bytes = std::get_if<std::string>(&piece)) {
+      state_.targets.OnHeard(choice.target, SteadyNow());
       const std::string events = splitter_.Take(*bytes);
       if (!events.empty() && !PassEvents(stream.head(), events)) {
         stream.Cancel();
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -141,5 +141,29 @@
   CHECK(Chosen(pool, kStart) == "b");
 }
 
+// Symptom: requests go on to a target whose VM is frozen. Cause: it is the one
+// with the fewest requests, since nothing it is sent is answered.
+TEST_CASE("a target that answers nobody comes after all that answer") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.SetSlow("c1", {{"a:80", kMissingPace}});
+  CHECK(Chosen(pool, kStart) == "b");
+  CHECK(Chosen(pool, kStart) == "b");
+  // It is no reason to refuse.
+  CHECK(Chosen(pool, kStart, {TargetId("b")}) == "a");
+}
+
+TEST_CASE("a target that has fallen silent comes after those that answer") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  CHECK(Chosen(pool, kStart, {TargetId("b")}) == "a");
+  CHECK(Chosen(pool, kStart, {TargetId("a")}) == "b");
+  const TimePoint later = kStart + Milliseconds(1200);
+  pool.OnFirstByte(TargetId("b"), Milliseconds(50), later);
+  CHECK(pool.IsSuspect(TargetId("a"), later));
+  CHECK(Chosen(pool, later) == "b");
+  CHECK(Chosen(pool, later) == "b");
+}
+
 }  // namespace
 }  // namespace bilberryspool::traffic
