--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -139,12 +139,16 @@
   }
 }
 
+bool GroupTask::HasSidecar(const net::Endpoint& engine, TimePoint now) const {
+  const auto found = sidecar_rests_.find(engine.address);
+  return found == sidecar_rests_.end() || now >= found->second;
+}
+
 GroupTask::Answer GroupTask::Ask(const net::Endpoint& engine,
                                  const net::HttpRequest& request,
                                  Duration patience) {
   const TimePoint asked = SteadyNow();
-  TimePoint& rests_until = sidecar_rests_[engine.address];
-  if (asked >= rests_until) {
+  if (HasSidecar(engine, asked)) {
     auto result =
         links_.Send({engine.address, sidecar_port_}, request, patience);
     auto* response = std::get_if<net::HttpResponse>(&result);
@@ -261,8 +265,17 @@
 
 void GroupTask::AskPicks() {
   const std::uint32_t stride = std::max(1U, ranks_ / kSampledRanks);
+  const TimePoint now = SteadyNow();
   for (std::uint32_t i = 0; i < kSampledRanks && i < ranks_; ++i) {
-    const RankIndex rank((i * stride) % ranks_);
+    RankIndex rank((i * stride) % ranks_);
+    // Read from afar the counts make the whole group pause.
+    for (std::uint32_t tries = 0;
+         tries < stride && !HasSidecar(addresses_.at(rank), now); ++tries) {
+      rank = RankIndex((rank.value() + 1) % ranks_);
+    }
+    if (!HasSidecar(addresses_.at(rank), now)) {
+      continue;
+    }
     loop_.Spawn([this, rank, endpoint = addresses_.at(rank)] {
       const Answer answer =
           Ask(endpoint, protocol_.picks_request(), kReportPatience);
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -53,6 +53,8 @@
     TimePoint as_of;
   };
 
+  // Whether its sidecar has not failed lately.
+  bool HasSidecar(const net::Endpoint& engine, TimePoint now) const;
   // By the sidecar, and where that fails directly.
   Answer Ask(const net::Endpoint& engine,
              const net::HttpRequest& request,
