Lost orders are given again soon, sidecars that are well are told from engines that are not

An unanswered order waited 200 ms at its sidecar, was taken for a lost sidecar, sent again directly for 200 ms, and then repeated; and for 2 s that engine was asked directly, which stops the group for each reading of counts.

Now a sidecar is told how long its engine may take and answers 502 for it; an order other than a copy is given again after 40 ms and 1 ms a rank; the switch is put as far ahead as arming took lately, 1 s at most; counts are read by sidecars only.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -235,13 +235,21 @@
 void StepSwitch::ChooseStep(TimePoint now) {
   // The step that was seen last began at `seen_at_` or before. Refused holds
   // tell that the group was further than thought.
-  const Duration since = now - seen_at_ + options_.lead;
+  const Duration lead =
+      std::min(options_.lead + expected_arming_, options_.longest_lead);
+  const Duration since = now - seen_at_ + lead;
   const double ahead = ToSeconds(since) / ToSeconds(step_time_);
   const double steps =
       std::ceil(std::max(ahead, 1.0)) * static_cast<double>(1U << late_holds_);
   step_ = StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
 }
 
+void StepSwitch::NoteArming(Duration took) {
+  const Duration remembered(static_cast<Duration::rep>(
+      options_.arming_memory * static_cast<double>(expected_arming_.count())));
+  expected_arming_ = std::max(took, remembered);
+}
+
 // Released: the ranks switch as the step begins, which an idle group puts off.
 void StepSwitch::Settle(TimePoint now) {
   if (!AllReportedSince(entered_)) {
@@ -311,6 +319,7 @@
       return;
     case SwitchPhase::kArming:
       if (AllDone()) {
+        NoteArming(now - entered_);
         Enter(SwitchPhase::kReleasing, now);
       }
       return;
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -42,8 +42,13 @@
   // How often a copy that was begun is asked about.
   Duration copy_poll = Milliseconds(20);
   // How far ahead of the present step the switch is put, so that all ranks are
-  // armed before the group gets there and need not wait.
+  // armed before the group gets there and need not wait; the time that arming
+  // took lately comes on top, up to the bound: where orders are lost it takes
+  // several rounds, and all that time the whole group would stand still.
   Duration lead = Milliseconds(15);
+  Duration longest_lead = Milliseconds(1000);
+  // What is left of a long arming in the expectation after each further change.
+  double arming_memory = 0.7;
   // A preparation that takes longer is given up; nothing is armed yet.
   Duration prepare_timeout = Seconds(20);
   // A new owner waits this long before it judges what it finds: its
@@ -118,6 +123,7 @@
   void BeginClearing(TimePoint now);
   void GiveUp(std::string why, TimePoint now);
   void ChooseStep(TimePoint now);
+  void NoteArming(Duration took);
   std::optional<EngineOrder> OrderFor(RankIndex index, const Rank& rank) const;
   void OnRefused(const RankOrder& order, Rank& rank, TimePoint now);
   bool IsAwaited(const RankOrder& order) const;
@@ -143,6 +149,7 @@
   TimePoint seen_at_;     // when it was first seen
   TimePoint checked_at_;  // when it was last seen
   Duration step_time_ = Milliseconds(15);
+  Duration expected_arming_{};
 };
 
 }  // namespace bilberryspool::groups
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -8,6 +8,7 @@
 #include "libs/net/steady_time.h"
 #include "libs/placement/bounded_plan.h"
 #include "libs/traffic/target_pool.h"
+#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::control_node {
 
@@ -28,9 +29,16 @@
 // until each gateway has noticed by itself.
 constexpr Duration kMissing = Milliseconds(600);
 constexpr Duration kReportPatience = Milliseconds(300);
-constexpr Duration kOrderPatience = Milliseconds(200);
+// An order to copy may take a while to read; the others are answered at once,
+// and the group may be standing still until the last one is: a lost one is
+// given again soon. What it takes to send them all comes on top.
+constexpr Duration kCopyPatience = Milliseconds(200);
+constexpr Duration kOrderPatience = Milliseconds(40);
+constexpr Duration kOrderTimePerRank = Milliseconds(1);
 // A sidecar that did not answer is not asked again for this long.
 constexpr Duration kSidecarRest = Seconds(2);
+// The way to a sidecar and back, on top of what its engine may take.
+constexpr Duration kSidecarTime = Milliseconds(40);
 // An engine's reports describe it as it was up to this long before, unless a
 // sidecar asks.
 constexpr Duration kReportLag = Milliseconds(300);
@@ -148,23 +156,38 @@
                                  const net::HttpRequest& request,
                                  Duration patience) {
   const TimePoint asked = SteadyNow();
-  if (HasSidecar(engine, asked)) {
-    auto result =
-        links_.Send({engine.address, sidecar_port_}, request, patience);
-    auto* response = std::get_if<net::HttpResponse>(&result);
-    if (response != nullptr &&
-        response->head.status < net::status::kServerError) {
-      return {response->head.status, std::move(response->body), asked};
-    }
-    links_.DropIdle({engine.address, sidecar_port_});
+  if (!HasSidecar(engine, asked)) {
+    return AskDirectly(engine, request, patience);
+  }
+  const net::Endpoint sidecar{engine.address, sidecar_port_};
+  net::HttpRequest relayed = request;
+  relayed.headers.Set(sidecar::kPatienceField,
+                      std::to_string(patience / Milliseconds(1)));
+  auto result = links_.Send(sidecar, relayed, patience + kSidecarTime);
+  if (auto* response = std::get_if<net::HttpResponse>(&result)) {
+    sidecar_failures_.erase(engine.address);
+    // The sidecar is well; its engine did not answer it, nor would it us.
+    const bool has_answered = response->head.status < net::status::kServerError;
+    return has_answered
+               ? Answer{response->head.status, std::move(response->body), asked}
+               : Answer{};
+  }
+  links_.DropIdle(sidecar);
+  const auto& error = std::get<net::HttpError>(result);
+  const bool was_refused = error.kind == net::HttpErrorKind::kConnect;
+  if (was_refused || ++sidecar_failures_[engine.address] > 1) {
+    sidecar_failures_.erase(engine.address);
     sidecar_rests_[engine.address] = SteadyNow() + kSidecarRest;
-    const auto* error = std::get_if<net::HttpError>(&result);
     log_.Info("Sidecar lost; asking the engine directly for a while.",
-              {{"engine", engine.ToString()},
-               {"why", error != nullptr ? error->text
-                                        : "it does not reach the engine"}});
+              {{"engine", engine.ToString()}, {"why", error.text}});
   }
-  const TimePoint asked_directly = SteadyNow();
+  return was_refused ? AskDirectly(engine, request, patience) : Answer{};
+}
+
+GroupTask::Answer GroupTask::AskDirectly(const net::Endpoint& engine,
+                                         const net::HttpRequest& request,
+                                         Duration patience) {
+  const TimePoint asked = SteadyNow();
   auto result = client_.Send(engine, request, patience);
   auto* response = std::get_if<net::HttpResponse>(&result);
   if (response == nullptr) {
@@ -173,11 +196,10 @@
               {{"engine", engine.ToString()},
                {"call", request.target},
                {"why", std::get<net::HttpError>(result).text},
-               {"waited_ms", (SteadyNow() - asked_directly).count() / 1000}});
+               {"waited_ms", (SteadyNow() - asked).count() / 1000}});
     return {};
   }
-  return {response->head.status, std::move(response->body),
-          asked_directly - kReportLag};
+  return {response->head.status, std::move(response->body), asked - kReportLag};
 }
 
 Duration GroupTask::busy_interval() const {
@@ -385,6 +407,12 @@
   switch_.Begin(std::make_shared<const placement::ExpertMap>(plan.map), now);
 }
 
+Duration GroupTask::PatienceFor(const groups::EngineOrder& order) const {
+  return std::holds_alternative<groups::PrepareMap>(order)
+             ? kCopyPatience
+             : kOrderPatience + kOrderTimePerRank * ranks_;
+}
+
 void GroupTask::SendOrder(const groups::RankOrder& order) {
   loop_.Spawn([this, order] {
     // A node that was suspended may have been replaced meanwhile.
@@ -393,7 +421,7 @@
     }
     const Answer answer =
         Ask(addresses_.at(order.rank), protocol_.order_request(order, ranks_),
-            kOrderPatience);
+            PatienceFor(order.order));
     switch_.OnAnswer(order,
                      answer.status == 0 ? groups::OrderAnswer::kUnanswered
                                         : protocol_.read_answer(answer.status),
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -55,10 +55,13 @@
 
   // Whether its sidecar has not failed lately.
   bool HasSidecar(const net::Endpoint& engine, TimePoint now) const;
-  // By the sidecar, and where that fails directly.
+  // By the sidecar, and directly where that is not there.
   Answer Ask(const net::Endpoint& engine,
              const net::HttpRequest& request,
              Duration patience);
+  Answer AskDirectly(const net::Endpoint& engine,
+                     const net::HttpRequest& request,
+                     Duration patience);
   void Pump();
   Duration busy_interval() const;
   bool is_watched() const;
@@ -67,6 +70,7 @@
   void ReadMap();
   void Plan(TimePoint now);
   void SendOrder(const groups::RankOrder& order);
+  Duration PatienceFor(const groups::EngineOrder& order) const;
   void NotePhase();
 
   net::NetworkLoop& loop_;
@@ -77,6 +81,8 @@
   std::function<bool()> may_act_;
   // When a sidecar that failed is tried again, by its VM.
   std::map<std::string, TimePoint> sidecar_rests_;
+  // Calls in a row that a sidecar did not answer, by its VM.
+  std::map<std::string, int> sidecar_failures_;
   GroupId group_;
   traffic::EngineModel engine_;
   std::uint32_t ranks_;
--- a/src/plugins/sidecar/sidecar_process.cc
+++ b/src/plugins/sidecar/sidecar_process.cc
@@ -1,5 +1,8 @@
 #include "plugins/sidecar/sidecar_process.h"
 
+#include <algorithm>
+#include <charconv>
+
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -9,6 +12,7 @@
 #include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/telemetry/log.h"
+#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::sidecar {
 
@@ -71,7 +75,7 @@
     if (const auto type = asked.headers.Find("Content-Type")) {
       request.headers.Add("Content-Type", std::string(*type));
     }
-    const auto result = client_.Send(engine_, request, kEnginePatience);
+    const auto result = client_.Send(engine_, request, PatienceOf(asked));
     net::HttpResponseHead head;
     const auto* response = std::get_if<net::HttpResponse>(&result);
     if (response == nullptr) {
@@ -87,6 +91,17 @@
     exchange.Respond(std::move(head), response->body);
   }
 
+  static Duration PatienceOf(const net::HttpRequest& asked) {
+    const std::string_view text = asked.headers.ValueOr(kPatienceField, "");
+    std::int64_t ms = 0;
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (parsed.ec != std::errc() || ms <= 0) {
+      return kEnginePatience;
+    }
+    return std::min(Milliseconds(ms), kEnginePatience);
+  }
+
   void SetReachable(bool is_reachable, const std::string& why) {
     if (is_reachable == is_reachable_) {
       return;
