No change of map while its node is short of time; a new leader releases a complete change at once

Cause: in a storm of large configurations the node that led lost its lead in the middle of a change, and the group of 72 ranks was held for ten seconds: the next one first read what the map in use holds, rank after rank, though a change that all ranks are armed for lacks only its release.

The stand-in announces itself by the same text as the soak's targets.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -171,7 +171,7 @@
 }
 
 void StepSwitch::Observe(TimePoint now) {
-  if (map_ == nullptr || !IsWhole(now) || !AllReportedSince(trusted_from_)) {
+  if (!IsWhole(now) || !AllReportedSince(trusted_from_)) {
     return;
   }
   std::optional<ArmedMap> armed;
@@ -200,6 +200,10 @@
     Enter(SwitchPhase::kReleasing, now);
     return;
   }
+  // All else needs to know what the map in use holds.
+  if (map_ == nullptr) {
+    return;
+  }
   if (held.has_value()) {
     step_ = *held;
     BeginClearing(now);
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -219,6 +219,7 @@
     return;
   }
   const TimePoint now = SteadyNow();
+  NoteLateness(now);
   if (now >= reports_due_) {
     const Duration idle = std::max(
         kIdleReports,
@@ -235,6 +236,18 @@
   ReadMap();
 }
 
+// A node that is short of processor time may lose its lead in the middle of a
+// change, and the group then stands still until another node has taken over.
+void GroupTask::NoteLateness(TimePoint now) {
+  // A plan for a large group alone takes a tenth of a second.
+  constexpr Duration kLate = Milliseconds(250);
+  constexpr Duration kCalm = Milliseconds(700);
+  if (ticked_at_ != TimePoint{} && now - ticked_at_ > kLate) {
+    calm_from_ = now + kCalm;
+  }
+  ticked_at_ = now;
+}
+
 // Sends what is due, and plans as soon as there is room for a change.
 void GroupTask::Pump() {
   const TimePoint now = SteadyNow();
@@ -242,7 +255,8 @@
     SendOrder(order);
   }
   NotePhase();
-  if (switch_.phase() == SwitchPhase::kIdle && now >= plan_due_) {
+  if (switch_.phase() == SwitchPhase::kIdle && now >= plan_due_ &&
+      now >= calm_from_) {
     plan_due_ = now + kPlanInterval;
     Plan(now);
   }
@@ -344,30 +358,47 @@
     return;
   }
   is_reading_map_ = true;
-  loop_.Spawn([this, version = *version] {
-    auto map = std::make_shared<placement::ExpertMap>(
-        engine_.expert_layers, engine_.experts_per_layer);
-    bool is_whole = true;
-    for (const auto& [rank, endpoint] : addresses_) {
+  // All ranks at once: the group may be standing still until the map is known.
+  auto reading = std::make_shared<MapReading>();
+  reading->map = std::make_shared<placement::ExpertMap>(
+      engine_.expert_layers, engine_.experts_per_layer);
+  reading->version = *version;
+  reading->missing = addresses_.size();
+  for (const auto& [rank, endpoint] : addresses_) {
+    loop_.Spawn([this, reading, rank = rank, endpoint = endpoint] {
       const auto read = protocol_.read_experts(
           Ask(endpoint, protocol_.experts_request(), kReportPatience).body);
-      if (!read.has_value() || read->version != version ||
+      if (!read.has_value() || read->version != reading->version ||
           read->experts.size() != engine_.expert_layers) {
-        is_whole = false;
-        break;
+        reading->is_whole = false;
+      } else {
+        AddExperts(*reading->map, rank, read->experts);
       }
-      for (std::uint32_t layer = 0; layer < engine_.expert_layers; ++layer) {
-        for (const ExpertIndex expert : read->experts[layer]) {
-          map->Add({placement::LayerIndex(layer), expert}, rank);
-        }
+      if (--reading->missing == 0) {
+        EndReading(*reading);
       }
+    });
+  }
+}
+
+void GroupTask::AddExperts(
+    placement::ExpertMap& map,
+    RankIndex rank,
+    const std::vector<std::vector<ExpertIndex>>& experts) const {
+  for (std::uint32_t layer = 0; layer < engine_.expert_layers; ++layer) {
+    for (const ExpertIndex expert : experts[layer]) {
+      map.Add({placement::LayerIndex(layer), expert}, rank);
     }
-    if (is_whole && map->Orphans().empty()) {
-      switch_.OnMapRead(version, map);
-    }
-    loop_.SleepFor(busy_interval());
-    is_reading_map_ = false;
-  });
+  }
+}
+
+void GroupTask::EndReading(const MapReading& reading) {
+  if (reading.is_whole && reading.map->Orphans().empty()) {
+    switch_.OnMapRead(reading.version, reading.map);
+    Pump();
+  }
+  loop_.SleepFor(busy_interval());
+  is_reading_map_ = false;
 }
 
 void GroupTask::Plan(TimePoint now) {
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -68,6 +68,18 @@
   void AskReports();
   void AskPicks();
   void ReadMap();
+  // The map in use, as the ranks tell of it one by one.
+  struct MapReading {
+    std::shared_ptr<placement::ExpertMap> map;
+    MapVersion version;
+    std::size_t missing = 0;
+    bool is_whole = true;
+  };
+  void AddExperts(placement::ExpertMap& map,
+                  RankIndex rank,
+                  const std::vector<std::vector<ExpertIndex>>& experts) const;
+  void EndReading(const MapReading& reading);
+  void NoteLateness(TimePoint now);
   void Plan(TimePoint now);
   void SendOrder(const groups::RankOrder& order);
   Duration PatienceFor(const groups::EngineOrder& order) const;
@@ -100,6 +112,9 @@
   TimePoint picks_due_;
   TimePoint plan_due_;
   TimePoint phase_since_;
+  TimePoint ticked_at_;
+  // No change is begun before.
+  TimePoint calm_from_;
   bool is_reading_map_ = false;
 };
 
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -13,6 +13,7 @@
 #include "libs/net/http_client.h"
 #include "libs/net/http_server.h"
 #include "libs/net/network_loop.h"
+#include "platform/outside_calls.h"
 
 DEFINE_string(listen, "127.0.0.1", "IP number of all targets");
 DEFINE_int32(first_port, 0, "port of the first target; the others follow");
@@ -54,6 +55,11 @@
         }) {}
 
   std::string Start() {
+    told_.target = TargetId(id_);
+    told_.service = ServiceId(FLAGS_service);
+    told_.address = endpoint_.ToString();
+    told_.domain = FailureDomain("z1");
+    told_.slots = 8;
     loop_.Spawn([this] { Beat(); });
     return server_.Start();
   }
@@ -68,15 +74,10 @@
   void Beat() {
     std::size_t at = 0;
     while (true) {
-      net::HttpRequest request;
-      request.method = "PUT";
-      request.target = "/instances/" + id_;
-      request.body = R"({"service":")" + FLAGS_service + R"(","address":")" +
-                     endpoint_.ToString() +
-                     R"(","zone":"z1","slots":8,"state":")" + state_ +
-                     R"(","sequence":)" + std::to_string(++sequence_) + "}";
-      const auto result = client_.Send(control_[at % control_.size()], request,
-                                       Milliseconds(1000));
+      ++told_.sequence;
+      const auto result =
+          client_.Send(control_[at % control_.size()],
+                       platform::AnnounceCall(told_), Milliseconds(1000));
       const auto* response = std::get_if<net::HttpResponse>(&result);
       if (response == nullptr || response->head.status != 200) {
         ++at;
@@ -112,7 +113,7 @@
       return;
     }
     if (request.target == "/drain") {
-      state_ = "draining";
+      told_.standing = traffic::Standing::kLeaving;
       Answer(exchange, 200, "");
       return;
     }
@@ -158,8 +159,7 @@
   std::string id_;
   net::Endpoint endpoint_;
   std::vector<net::Endpoint> control_;
-  std::string state_ = "ready";
-  int sequence_ = 0;
+  traffic::TargetAnnouncement told_;
   std::map<std::string, int> runs_;
   net::HttpClient client_;
   net::HttpServer server_;
