--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -36,7 +36,7 @@
               settings,
               authenticator,
               interface.read_configuration),
-        watch_(node_),
+        watch_(loop_, node_),
         links_(loop_, authenticator),
         groups_(loop_,
                 links_,
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -30,17 +30,23 @@
   }
   const bool knows_this_boot = query->boot == node_.boot();
   const std::uint64_t revision = knows_this_boot ? query->revision : 0;
-  const auto has_news = [&] {
-    return !knows_this_boot || node_.targets().revision() > revision ||
-           node_.configuration().version() > query->version ||
+  const auto is_urgent = [&] {
+    return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
            query->slow_revision != node_.slow_revision();
   };
+  const auto has_news = [&] {
+    return !knows_this_boot || node_.targets().revision() > revision ||
+           is_urgent();
+  };
   const TimePoint deadline =
       SteadyNow() + std::min(query->wait, traffic::kLongestWatch);
   while (!has_news() && SteadyNow() < deadline) {
     node_.changed().WaitUntil(deadline);
   }
+  if (has_news() && !is_urgent() && !query->wants_configuration) {
+    loop_.SleepFor(GatheringTime());
+  }
   traffic::WatchAnswer answer;
   answer.boot = node_.boot();
   answer.revision = node_.targets().revision();
@@ -69,4 +75,14 @@
   return gateways_.size();
 }
 
+// Where thousands of targets announce themselves within a second, each would be
+// told to each of hundreds of gateways in an answer of its own, which is more
+// than a small node can send: it falls behind in all that it does.
+Duration WatchService::GatheringTime() const {
+  constexpr Duration kPerGateway = Microseconds(1500);
+  constexpr Duration kLongest = Milliseconds(400);
+  const auto gateways = static_cast<Duration::rep>(gateways_.size());
+  return std::min(kPerGateway * gateways, kLongest);
+}
+
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/watch_service.h
+++ b/src/plugins/control_node/watch_service.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "libs/links/link_server.h"
+#include "libs/net/network_loop.h"
 #include "plugins/control_node/control_node.h"
 
 namespace bilberryspool::control_node {
@@ -17,7 +18,8 @@
 // soon as there is something else, or after a while without.
 class WatchService {
  public:
-  explicit WatchService(ControlNode& node) : node_(node) {}
+  WatchService(net::NetworkLoop& loop, ControlNode& node)
+      : loop_(loop), node_(node) {}
 
   void Register(links::LinkServer& server);
 
@@ -27,7 +29,10 @@
   std::optional<Json> OnWatch(const Json& params);
 
   std::size_t CountGateways(TimePoint now);
+  // How long news of targets are gathered before they are told.
+  Duration GatheringTime() const;
 
+  net::NetworkLoop& loop_;
   ControlNode& node_;
   // When each gateway last asked, by name.
   std::map<std::string, TimePoint> gateways_;
