--- a/src/tools/soak/deployment.h
+++ b/src/tools/soak/deployment.h
@@ -11,8 +11,8 @@
 
 #include "libs/net/endpoint.h"
 #include "libs/net/network_loop.h"
+#include "processes/soak/process_table.h"
 #include "tools/blackhole/relay.h"
-#include "tools/soak/process_table.h"
 
 namespace bilberryspool::soak {
 
--- a/src/tools/soak/process_table.cc
+++ b/tests/processes/soak/process_table.cc
@@ -1,4 +1,4 @@
-#include "tools/soak/process_table.h"
+#include "processes/soak/process_table.h"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/src/tools/soak/process_table.h
+++ b/tests/processes/soak/process_table.h
@@ -1,7 +1,7 @@
 // Processes that this one has started, by name. It ends no others.
 
-#ifndef TOOLS_SOAK_PROCESS_TABLE_H_
-#define TOOLS_SOAK_PROCESS_TABLE_H_
+#ifndef TESTS_PROCESSES_SOAK_PROCESS_TABLE_H_
+#define TESTS_PROCESSES_SOAK_PROCESS_TABLE_H_
 
 #include <sys/types.h>
 
@@ -39,4 +39,4 @@
 
 }  // namespace bilberryspool::soak
 
-#endif  // TOOLS_SOAK_PROCESS_TABLE_H_
+#endif  // TESTS_PROCESSES_SOAK_PROCESS_TABLE_H_
