Calls to engines apart from the group's task; the wait for a group is told

group_task.cc mixed planning, the phases of a change and the ways to an engine (464 lines); what is known of a sidecar belongs to its VM, not to one group, and was forgotten with the task. EngineCalls holds it for all groups. A rank counts as missing after two and a half reports, not after 0.6 s: at 72 ranks, asked each 0.45 s, one lost report was enough. The three copies of server options in the control process are one. The trail of a request tells of a wait for its group only where there was one, and how long. Constants say where they come from.

--- a/src/libs/traffic/group_outlook.h
+++ b/src/libs/traffic/group_outlook.h
@@ -28,8 +28,9 @@
 };
 
 struct GroupOutlookOptions {
-  // From the return of the last rank until the group works: what engines take
-  // to form, and the way of the news here.
+  // From the return of the last rank until the group works: engines take 0.6 s
+  // by their description, 0.38 to 0.61 s were left when the news came here, and
+  // a third on top for a slow node on the way.
   Duration forming = Milliseconds(900);
 };
 
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -17,6 +17,8 @@
 // Room for a configuration in a message of the replicated log, whose quoting
 // may double it.
 constexpr std::size_t kMaxPeerBodyBytes = 16UL * 1024 * 1024;
+// Questions for metrics have no body.
+constexpr std::size_t kMaxQuestionBytes = 4UL * 1024;
 constexpr std::size_t kMaxOperatorBodyBytes = 8UL * 1024 * 1024;
 
 net::Endpoint ToEndpoint(const settings::SocketAddress& address) {
@@ -46,7 +48,7 @@
                 interface.read_configuration),
         peers_(
             loop_,
-            PeerOptions(settings),
+            OptionsFor(settings.peers_listen, kMaxPeerBodyBytes),
             authenticator,
             [](net::HttpExchange& exchange) { NotFound(exchange); },
             [this](const std::string& peer, net::LinkRefusal refusal) {
@@ -54,11 +56,11 @@
                         {{"peer", peer}, {"reason", net::Describe(refusal)}});
             }),
         operators_(loop_,
-                   OperatorOptions(settings),
+                   OptionsFor(settings.operators_listen, kMaxOperatorBodyBytes),
                    interface.make_handler(node_)),
         metrics_server_(
             loop_,
-            MetricsOptions(settings),
+            OptionsFor(settings.metrics_listen, kMaxQuestionBytes),
             [this](net::HttpExchange& exchange) { ServeMetrics(exchange); }) {}
 
   void Run() {
@@ -81,26 +83,12 @@
   }
 
  private:
-  static net::HttpServerOptions PeerOptions(
-      const settings::ControlSettings& settings) {
+  static net::HttpServerOptions OptionsFor(
+      const settings::SocketAddress& address,
+      std::size_t max_body_bytes) {
     net::HttpServerOptions options;
-    options.listen = ToEndpoint(settings.peers_listen);
-    options.max_body_bytes = kMaxPeerBodyBytes;
-    return options;
-  }
-
-  static net::HttpServerOptions OperatorOptions(
-      const settings::ControlSettings& settings) {
-    net::HttpServerOptions options;
-    options.listen = ToEndpoint(settings.operators_listen);
-    options.max_body_bytes = kMaxOperatorBodyBytes;
-    return options;
-  }
-
-  static net::HttpServerOptions MetricsOptions(
-      const settings::ControlSettings& settings) {
-    net::HttpServerOptions options;
-    options.listen = ToEndpoint(settings.metrics_listen);
+    options.listen = ToEndpoint(address);
+    options.max_body_bytes = max_body_bytes;
     return options;
   }
 
--- /dev/null
+++ b/src/plugins/control_node/engine_calls.cc
@@ -0,0 +1,86 @@
+#include "plugins/control_node/engine_calls.h"
+
+#include "libs/net/http_status.h"
+#include "libs/net/steady_time.h"
+#include "plugins/sidecar/sidecar_call.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+namespace {
+
+// A sidecar that did not answer is not asked again for this long.
+constexpr Duration kSidecarRest = Seconds(2);
+// The way to a sidecar and back, on top of what its engine may take.
+constexpr Duration kSidecarTime = Milliseconds(40);
+// An engine's reports describe it as it was up to this long before, unless a
+// sidecar asks.
+constexpr Duration kReportLag = Milliseconds(300);
+
+}  // namespace
+
+EngineCalls::EngineCalls(net::NetworkLoop& loop,
+                         links::LinkClient& links,
+                         std::uint16_t sidecar_port)
+    : client_(loop, net::HttpClientOptions{}),
+      links_(links),
+      sidecar_port_(sidecar_port),
+      log_("groups") {}
+
+bool EngineCalls::HasSidecar(const net::Endpoint& engine, TimePoint now) const {
+  const auto found = sidecar_rests_.find(engine.address);
+  return found == sidecar_rests_.end() || now >= found->second;
+}
+
+EngineCalls::Answer EngineCalls::Ask(const net::Endpoint& engine,
+                                     const net::HttpRequest& request,
+                                     Duration patience) {
+  const TimePoint asked = SteadyNow();
+  if (!HasSidecar(engine, asked)) {
+    return AskDirectly(engine, request, patience);
+  }
+  const net::Endpoint sidecar{engine.address, sidecar_port_};
+  net::HttpRequest relayed = request;
+  relayed.headers.Set(sidecar::kPatienceField,
+                      std::to_string(patience / Milliseconds(1)));
+  auto result = links_.Send(sidecar, relayed, patience + kSidecarTime);
+  if (auto* response = std::get_if<net::HttpResponse>(&result)) {
+    sidecar_failures_.erase(engine.address);
+    // The sidecar is well; its engine did not answer it, nor would it us.
+    const bool has_answered = response->head.status < net::status::kServerError;
+    return has_answered
+               ? Answer{response->head.status, std::move(response->body), asked}
+               : Answer{};
+  }
+  links_.DropIdle(sidecar);
+  const auto& error = std::get<net::HttpError>(result);
+  const bool was_refused = error.kind == net::HttpErrorKind::kConnect;
+  if (was_refused || ++sidecar_failures_[engine.address] > 1) {
+    sidecar_failures_.erase(engine.address);
+    sidecar_rests_[engine.address] = SteadyNow() + kSidecarRest;
+    log_.Info("Sidecar lost; asking the engine directly for a while.",
+              {{"engine", engine.ToString()}, {"why", error.text}});
+  }
+  return was_refused ? AskDirectly(engine, request, patience) : Answer{};
+}
+
+EngineCalls::Answer EngineCalls::AskDirectly(const net::Endpoint& engine,
+                                             const net::HttpRequest& request,
+                                             Duration patience) {
+  const TimePoint asked = SteadyNow();
+  auto result = client_.Send(engine, request, patience);
+  auto* response = std::get_if<net::HttpResponse>(&result);
+  if (response == nullptr) {
+    client_.DropIdle(engine);
+    log_.Info("An engine does not answer.",
+              {{"engine", engine.ToString()},
+               {"call", request.target},
+               {"why", std::get<net::HttpError>(result).text},
+               {"waited_ms", (SteadyNow() - asked).count() / 1000}});
+    return {};
+  }
+  return {response->head.status, std::move(response->body), asked - kReportLag};
+}
+
+}  // namespace bilberryspool::control_node
--- /dev/null
+++ b/src/plugins/control_node/engine_calls.h
@@ -0,0 +1,58 @@
+// Calls to engines: by the sidecar beside each, and directly where that is not
+// there. Reads from afar are worth avoiding: they describe the engine as it
+// was, and a group pauses for some of them.
+
+#ifndef PLUGINS_CONTROL_NODE_ENGINE_CALLS_H_
+#define PLUGINS_CONTROL_NODE_ENGINE_CALLS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "libs/links/link_client.h"
+#include "libs/net/http_client.h"
+#include "libs/telemetry/log.h"
+
+namespace bilberryspool::control_node {
+
+// Runs in the control loop. What is known of a sidecar holds for all groups.
+class EngineCalls {
+ public:
+  // An answer of an engine, and how fresh it is.
+  struct Answer {
+    int status = 0;  // 0: none came
+    std::string body;
+    TimePoint as_of;
+  };
+
+  // Sidecars listen on `sidecar_port` of each engine's VM.
+  EngineCalls(net::NetworkLoop& loop,
+              links::LinkClient& links,
+              std::uint16_t sidecar_port);
+
+  // Whether its sidecar has not failed lately.
+  bool HasSidecar(const net::Endpoint& engine, TimePoint now) const;
+  // Blocks the calling fiber. `patience` is the engine's; the way to its
+  // sidecar comes on top.
+  Answer Ask(const net::Endpoint& engine,
+             const net::HttpRequest& request,
+             Duration patience);
+
+ private:
+  Answer AskDirectly(const net::Endpoint& engine,
+                     const net::HttpRequest& request,
+                     Duration patience);
+
+  net::HttpClient client_;
+  links::LinkClient& links_;
+  std::uint16_t sidecar_port_;
+  telemetry::Logger log_;
+  // When a sidecar that failed is tried again, by its VM.
+  std::map<std::string, TimePoint> sidecar_rests_;
+  // Calls in a row that a sidecar did not answer, by its VM.
+  std::map<std::string, int> sidecar_failures_;
+};
+
+}  // namespace bilberryspool::control_node
+
+#endif  // PLUGINS_CONTROL_NODE_ENGINE_CALLS_H_
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -29,9 +29,8 @@
                          traffic::ConfigurationReader read_configuration)
     : loop_(loop),
       links_(client),
-      client_(loop, net::HttpClientOptions{}),
+      calls_(loop, client, sidecar_port),
       node_(node),
-      sidecar_port_(sidecar_port),
       protocol_(std::move(protocol)),
       read_configuration_(std::move(read_configuration)),
       log_("groups"),
@@ -179,8 +178,8 @@
       ended_.push_back(std::move(task));
     }
     task = std::make_unique<GroupTask>(
-        loop_, client_, links_, sidecar_port_, protocol_, place.group, *engine,
-        place.size, MapVersion(term_.value() * kVersionsOfATerm + 1));
+        loop_, calls_, protocol_, place.group, *engine, place.size,
+        MapVersion(term_.value() * kVersionsOfATerm + 1));
     task->SetMayAct([this] { return node_.replica().is_leader(); });
     log_.Info("Looking after a group.", {{"group", place.group.value()},
                                          {"ranks", place.size},
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -52,9 +52,8 @@
 
   net::NetworkLoop& loop_;
   links::LinkClient& links_;
-  net::HttpClient client_;
+  EngineCalls calls_;
   ControlNode& node_;
-  std::uint16_t sidecar_port_;
   EngineProtocol protocol_;
   traffic::ConfigurationReader read_configuration_;
   telemetry::Logger log_;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -3,12 +3,10 @@
 #include <algorithm>
 #include <cmath>
 
-#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/placement/bounded_plan.h"
 #include "libs/traffic/target_pool.h"
-#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::control_node {
 
@@ -21,27 +19,22 @@
 // 0.15 of a core can ask and read beside its other work.
 constexpr double kReportsPerSecond = 400.0;
 // How often each rank is asked in the calm: often enough to tell soon that one
-// does not answer, within a part of those reports.
+// does not answer, within this part of those reports.
 constexpr Duration kIdleReports = Milliseconds(250);
 constexpr double kIdleShare = 0.4;
-// A rank that has not answered for this long while most others have is taken
-// for cut off or frozen. Callers that are sent there would wait for nothing
-// until each gateway has noticed by itself.
-constexpr Duration kMissing = Milliseconds(600);
+// A rank that left out more reports than this while most others have answered
+// is taken for cut off or frozen (0.63 s with 16 ranks, 1.1 s with 72): one
+// report may get lost. Callers that are sent there would wait for nothing until
+// each gateway has noticed by itself.
+constexpr double kMissingReports = 2.5;
 constexpr Duration kReportPatience = Milliseconds(300);
 // An order to copy may take a while to read; the others are answered at once,
 // and the group may be standing still until the last one is: a lost one is
-// given again soon. What it takes to send them all comes on top.
+// given again soon. Answers took 2 to 30 ms; what it takes to send them all, up
+// to 1 ms each on 0.15 of a core, comes on top.
 constexpr Duration kCopyPatience = Milliseconds(200);
 constexpr Duration kOrderPatience = Milliseconds(40);
 constexpr Duration kOrderTimePerRank = Milliseconds(1);
-// A sidecar that did not answer is not asked again for this long.
-constexpr Duration kSidecarRest = Seconds(2);
-// The way to a sidecar and back, on top of what its engine may take.
-constexpr Duration kSidecarTime = Milliseconds(40);
-// An engine's reports describe it as it was up to this long before, unless a
-// sidecar asks.
-constexpr Duration kReportLag = Milliseconds(300);
 // How often picks are read, and from how many ranks in turn. Requests fall on
 // ranks alike, so one shows what is in demand.
 constexpr Duration kPicksInterval = Milliseconds(60);
@@ -123,18 +116,14 @@
 }  // namespace
 
 GroupTask::GroupTask(net::NetworkLoop& loop,
-                     net::HttpClient& client,
-                     links::LinkClient& links,
-                     std::uint16_t sidecar_port,
+                     EngineCalls& calls,
                      const EngineProtocol& protocol,
                      GroupId group,
                      const traffic::EngineModel& engine,
                      std::uint32_t ranks,
                      MapVersion first_version)
     : loop_(loop),
-      client_(client),
-      links_(links),
-      sidecar_port_(sidecar_port),
+      calls_(calls),
       protocol_(protocol),
       group_(std::move(group)),
       engine_(engine),
@@ -149,67 +138,17 @@
   }
 }
 
-bool GroupTask::HasSidecar(const net::Endpoint& engine, TimePoint now) const {
-  const auto found = sidecar_rests_.find(engine.address);
-  return found == sidecar_rests_.end() || now >= found->second;
-}
-
-GroupTask::Answer GroupTask::Ask(const net::Endpoint& engine,
-                                 const net::HttpRequest& request,
-                                 Duration patience) {
-  const TimePoint asked = SteadyNow();
-  if (!HasSidecar(engine, asked)) {
-    return AskDirectly(engine, request, patience);
-  }
-  const net::Endpoint sidecar{engine.address, sidecar_port_};
-  net::HttpRequest relayed = request;
-  relayed.headers.Set(sidecar::kPatienceField,
-                      std::to_string(patience / Milliseconds(1)));
-  auto result = links_.Send(sidecar, relayed, patience + kSidecarTime);
-  if (auto* response = std::get_if<net::HttpResponse>(&result)) {
-    sidecar_failures_.erase(engine.address);
-    // The sidecar is well; its engine did not answer it, nor would it us.
-    const bool has_answered = response->head.status < net::status::kServerError;
-    return has_answered
-               ? Answer{response->head.status, std::move(response->body), asked}
-               : Answer{};
-  }
-  links_.DropIdle(sidecar);
-  const auto& error = std::get<net::HttpError>(result);
-  const bool was_refused = error.kind == net::HttpErrorKind::kConnect;
-  if (was_refused || ++sidecar_failures_[engine.address] > 1) {
-    sidecar_failures_.erase(engine.address);
-    sidecar_rests_[engine.address] = SteadyNow() + kSidecarRest;
-    log_.Info("Sidecar lost; asking the engine directly for a while.",
-              {{"engine", engine.ToString()}, {"why", error.text}});
-  }
-  return was_refused ? AskDirectly(engine, request, patience) : Answer{};
-}
-
-GroupTask::Answer GroupTask::AskDirectly(const net::Endpoint& engine,
-                                         const net::HttpRequest& request,
-                                         Duration patience) {
-  const TimePoint asked = SteadyNow();
-  auto result = client_.Send(engine, request, patience);
-  auto* response = std::get_if<net::HttpResponse>(&result);
-  if (response == nullptr) {
-    client_.DropIdle(engine);
-    log_.Info("An engine does not answer.",
-              {{"engine", engine.ToString()},
-               {"call", request.target},
-               {"why", std::get<net::HttpError>(result).text},
-               {"waited_ms", (SteadyNow() - asked).count() / 1000}});
-    return {};
-  }
-  return {response->head.status, std::move(response->body), asked - kReportLag};
-}
-
 Duration GroupTask::busy_interval() const {
   constexpr double kMicrosecondsPerSecond = 1e6;
   return Microseconds(static_cast<std::int64_t>(ranks_ / kReportsPerSecond *
                                                 kMicrosecondsPerSecond));
 }
 
+Duration GroupTask::idle_interval() const {
+  const auto share = static_cast<double>(busy_interval().count()) / kIdleShare;
+  return std::max(kIdleReports, Duration(static_cast<Duration::rep>(share)));
+}
+
 // Whether the phase ends by what the ranks report.
 bool GroupTask::is_watched() const {
   return switch_.phase() == SwitchPhase::kObserving ||
@@ -224,11 +163,7 @@
   const TimePoint now = SteadyNow();
   NoteLateness(now);
   if (now >= reports_due_) {
-    const Duration idle = std::max(
-        kIdleReports,
-        Duration(static_cast<Duration::rep>(
-            static_cast<double>(busy_interval().count()) / kIdleShare)));
-    reports_due_ = now + (is_watched() ? busy_interval() : idle);
+    reports_due_ = now + (is_watched() ? busy_interval() : idle_interval());
     AskReports();
   }
   if (now >= picks_due_) {
@@ -242,7 +177,8 @@
 // A node that is short of processor time may lose its lead in the middle of a
 // change, and the group then stands still until another node has taken over.
 void GroupTask::NoteLateness(TimePoint now) {
-  // A plan for a large group alone takes a tenth of a second.
+  // A plan for a large group alone takes a tenth of a second; followers vote
+  // anew after half a second without a word.
   constexpr Duration kLate = Milliseconds(250);
   constexpr Duration kCalm = Milliseconds(700);
   if (ticked_at_ != TimePoint{} && now - ticked_at_ > kLate) {
@@ -288,8 +224,8 @@
 void GroupTask::AskReports() {
   for (const auto& [rank, endpoint] : addresses_) {
     loop_.Spawn([this, rank = rank, endpoint = endpoint] {
-      const Answer answer =
-          Ask(endpoint, protocol_.report_request(), kReportPatience);
+      const EngineCalls::Answer answer =
+          calls_.Ask(endpoint, protocol_.report_request(), kReportPatience);
       const auto report = protocol_.read_report(answer.body);
       if (report.has_value()) {
         paces_[rank] = report->pace;
@@ -309,15 +245,16 @@
     RankIndex rank((i * stride) % ranks_);
     // Read from afar the counts make the whole group pause.
     for (std::uint32_t tries = 0;
-         tries < stride && !HasSidecar(addresses_.at(rank), now); ++tries) {
+         tries < stride && !calls_.HasSidecar(addresses_.at(rank), now);
+         ++tries) {
       rank = RankIndex((rank.value() + 1) % ranks_);
     }
-    if (!HasSidecar(addresses_.at(rank), now)) {
+    if (!calls_.HasSidecar(addresses_.at(rank), now)) {
       continue;
     }
     loop_.Spawn([this, rank, endpoint = addresses_.at(rank)] {
-      const Answer answer =
-          Ask(endpoint, protocol_.picks_request(), kReportPatience);
+      const EngineCalls::Answer answer =
+          calls_.Ask(endpoint, protocol_.picks_request(), kReportPatience);
       const auto picks = protocol_.read_picks(answer.body);
       if (picks.has_value()) {
         loads_.Observe(rank, picks->counts, SteadyNow());
@@ -337,7 +274,8 @@
   const TimePoint now = SteadyNow();
   std::vector<RankIndex> missing;
   for (const auto& [rank, heard_at] : heard_at_) {
-    if (now - heard_at > kMissing) {
+    if (ToSeconds(now - heard_at) >
+        kMissingReports * ToSeconds(idle_interval())) {
       missing.push_back(rank);
     }
   }
@@ -370,7 +308,8 @@
   for (const auto& [rank, endpoint] : addresses_) {
     loop_.Spawn([this, reading, rank = rank, endpoint = endpoint] {
       const auto read = protocol_.read_experts(
-          Ask(endpoint, protocol_.experts_request(), kReportPatience).body);
+          calls_.Ask(endpoint, protocol_.experts_request(), kReportPatience)
+              .body);
       if (!read.has_value() || read->version != reading->version ||
           read->experts.size() != engine_.expert_layers) {
         reading->is_whole = false;
@@ -453,9 +392,9 @@
     if (!may_act_()) {
       return;
     }
-    const Answer answer =
-        Ask(addresses_.at(order.rank), protocol_.order_request(order, ranks_),
-            PatienceFor(order.order));
+    const EngineCalls::Answer answer = calls_.Ask(
+        addresses_.at(order.rank), protocol_.order_request(order, ranks_),
+        PatienceFor(order.order));
     switch_.OnAnswer(order,
                      answer.status == 0 ? groups::OrderAnswer::kUnanswered
                                         : protocol_.read_answer(answer.status),
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -9,11 +9,12 @@
 #include <string>
 
 #include "libs/groups/step_switch.h"
-#include "libs/links/link_client.h"
-#include "libs/net/http_client.h"
+#include "libs/net/endpoint.h"
+#include "libs/net/network_loop.h"
 #include "libs/placement/recent_loads.h"
 #include "libs/telemetry/log.h"
 #include "libs/traffic/traffic_configuration.h"
+#include "plugins/control_node/engine_calls.h"
 #include "plugins/control_node/engine_protocol.h"
 
 namespace bilberryspool::control_node {
@@ -21,11 +22,8 @@
 // Runs in the control loop, while its node leads.
 class GroupTask {
  public:
-  // Sidecars listen on `sidecar_port` of each engine's VM.
   GroupTask(net::NetworkLoop& loop,
-            net::HttpClient& client,
-            links::LinkClient& links,
-            std::uint16_t sidecar_port,
+            EngineCalls& calls,
             const EngineProtocol& protocol,
             GroupId group,
             const traffic::EngineModel& engine,
@@ -46,24 +44,9 @@
   void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
-  // An answer of an engine, and how fresh it is.
-  struct Answer {
-    int status = 0;  // 0: none came
-    std::string body;
-    TimePoint as_of;
-  };
-
-  // Whether its sidecar has not failed lately.
-  bool HasSidecar(const net::Endpoint& engine, TimePoint now) const;
-  // By the sidecar, and directly where that is not there.
-  Answer Ask(const net::Endpoint& engine,
-             const net::HttpRequest& request,
-             Duration patience);
-  Answer AskDirectly(const net::Endpoint& engine,
-                     const net::HttpRequest& request,
-                     Duration patience);
   void Pump();
   Duration busy_interval() const;
+  Duration idle_interval() const;
   bool is_watched() const;
   void AskReports();
   void AskPicks();
@@ -86,15 +69,9 @@
   void NotePhase();
 
   net::NetworkLoop& loop_;
-  net::HttpClient& client_;
-  links::LinkClient& links_;
-  std::uint16_t sidecar_port_;
+  EngineCalls& calls_;
   const EngineProtocol& protocol_;
   std::function<bool()> may_act_;
-  // When a sidecar that failed is tried again, by its VM.
-  std::map<std::string, TimePoint> sidecar_rests_;
-  // Calls in a row that a sidecar did not answer, by its VM.
-  std::map<std::string, int> sidecar_failures_;
   GroupId group_;
   traffic::EngineModel engine_;
   std::uint32_t ranks_;
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -79,6 +79,9 @@
 // told to each of hundreds of gateways in an answer of its own, which is more
 // than a small node can send: it falls behind in all that it does.
 Duration WatchService::GatheringTime() const {
+  // At 240 gateways and 3,000 targets a node of 0.15 of a core stood at 98%
+  // without, at 52% with it. The longest leaves most of the two seconds that a
+  // leaving target goes on serving.
   constexpr Duration kPerGateway = Microseconds(1500);
   constexpr Duration kLongest = Milliseconds(400);
   const auto gateways = static_cast<Duration::rep>(gateways_.size());
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -19,7 +19,8 @@
 // Where nothing else tells when a place will be free.
 constexpr Duration kComeBack = Milliseconds(1000);
 
-// What is kept back of a caller's time for the answer.
+// What is kept back of a caller's time for the answer: a few ways to the
+// caller, 1 to 3 ms each, and the turn of a busy process.
 constexpr Duration kAnswerTime = Milliseconds(50);
 
 // A request whose caller names no time and whose route is unknown yet.
@@ -121,16 +122,23 @@
 // Callers of a group that is about to form wait for it: refused now, they would
 // come back seconds later. False where the caller has left.
 bool RelayCall::AwaitGroup() {
-  // A group that fails to form is no reason to keep anyone waiting.
+  // A group that fails to form is no reason to keep anyone waiting. Two ranks
+  // that return one after the other took 1.06 s; of 2,207 requests that waited
+  // 1,887 were served and 99 refused, after 0.54 s at most.
   constexpr Duration kLongestWait = Milliseconds(1200);
+  const TimePoint began = SteadyNow();
   const TimePoint limit =
-      std::min(SteadyNow() + kLongestWait, give_up_at_ - kAnswerTime);
+      std::min(began + kLongestWait, give_up_at_ - kAnswerTime);
   while (!caller_left_ && SteadyNow() < limit &&
          state_.targets.OutlookOf(service_, SteadyNow()) ==
              traffic::Outlook::kForming) {
     state_.news.WaitUntil(
         std::min(limit, state_.targets.forms_until(service_)));
   }
+  const auto waited = (SteadyNow() - began) / Milliseconds(1);
+  if (waited > 0) {
+    trail_ += "(waited " + std::to_string(waited) + " ms for the group)";
+  }
   return !caller_left_;
 }
 
