A lapse of the lease within a term keeps a change of map that was begun

Cause, from its log: three times in 7 s the node that led lost its lease for a moment, while it read configurations of 0.6 MB, and had it again in the same term; each time GroupKeeper dropped its tasks and began anew. At 25.92 s a step was held; the new task found it at 27.38 s, by looking at all 72 ranks, and cleared it.

Tenure, pure: in the same term what was begun goes on, and orders that were not given meanwhile are given then; another term ends it. Where a task is replaced within a term its successor starts above all versions that it gave: a late order of the old one could have prepared another map under the same version.

--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -113,6 +113,8 @@
   const MapPointer& map() const { return map_; }
   GroupEpoch epoch() const { return epoch_; }
   MapVersion version() const { return version_; }
+  // Above every version that was given to a map so far.
+  MapVersion unused_version() const { return next_version_; }
 
  private:
   struct Rank {
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -43,26 +43,29 @@
 void GroupKeeper::Run() {
   while (true) {
     loop_.SleepFor(kTickInterval);
-    const bool leads = node_.replica().is_leader();
     const bool is_due = SteadyNow() >= collect_due_;
     if (is_due) {
+      collect_due_ = SteadyNow() + kCollectInterval;
       LearnFromMembers();
     }
-    if (is_due || leads != was_leader_) {
-      collect_due_ = SteadyNow() + kCollectInterval;
-      was_leader_ = leads;
-      if (leads) {
-        term_ = node_.replica().driver()->replica().term();
-        CollectRanks();
-      }
+    ForgetEnded();
+    const bool leads = node_.replica().is_leader();
+    const Term term =
+        leads ? node_.replica().driver()->replica().term() : Term();
+    const Tenure::Verdict verdict = tenure_.Note(leads, term);
+    if (verdict == Tenure::Verdict::kRests) {
+      node_.SetSlowTargets({});
+      continue;
     }
-    if (!leads) {
+    if (verdict == Tenure::Verdict::kBeginsAnew) {
+      term_ = term;
       for (auto& [group, task] : tasks_) {
         ended_.push_back(std::move(task));
       }
       tasks_.clear();
-      node_.SetSlowTargets({});
-      continue;
+    }
+    if (is_due || verdict == Tenure::Verdict::kBeginsAnew) {
+      CollectRanks();
     }
     std::map<std::string, double> slow;
     for (auto& [group, task] : tasks_) {
@@ -73,6 +76,10 @@
   }
 }
 
+void GroupKeeper::ForgetEnded() {
+  std::erase_if(ended_, [](const auto& task) { return !task->is_calling(); });
+}
+
 void GroupKeeper::LearnFromMembers() {
   std::set<net::Endpoint> nodes = std::exchange(told_nodes_, {});
   for (const net::Endpoint& node : node_.FindNodes()) {
@@ -174,12 +181,14 @@
   }
   auto& task = tasks_[place.group];
   if (task == nullptr || task->ranks() != place.size) {
+    MapVersion first(term_.value() * kVersionsOfATerm + 1);
     if (task != nullptr) {
+      // Orders of the old task may still be carried out, late.
+      first = std::max(first, task->unused_version());
       ended_.push_back(std::move(task));
     }
-    task = std::make_unique<GroupTask>(
-        loop_, calls_, protocol_, place.group, *engine, place.size,
-        MapVersion(term_.value() * kVersionsOfATerm + 1));
+    task = std::make_unique<GroupTask>(loop_, calls_, protocol_, place.group,
+                                       *engine, place.size, first);
     task->SetMayAct([this] { return node_.replica().is_leader(); });
     log_.Info("Looking after a group.", {{"group", place.group.value()},
                                          {"ranks", place.size},
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -20,6 +20,7 @@
 #include "plugins/control_node/control_node.h"
 #include "plugins/control_node/engine_protocol.h"
 #include "plugins/control_node/group_task.h"
+#include "plugins/control_node/tenure.h"
 
 namespace bilberryspool::control_node {
 
@@ -42,6 +43,8 @@
   };
 
   void Run();
+  // Ended tasks whose last call has returned.
+  void ForgetEnded();
   void CollectRanks();
   void Tend(const traffic::TargetAnnouncement& told);
   // Targets announce themselves to any control node, and whichever leads next
@@ -65,7 +68,7 @@
   std::map<net::Endpoint, Mark> marks_;
   // Nodes that others have told of, to be asked once.
   std::set<net::Endpoint> told_nodes_;
-  bool was_leader_ = false;
+  Tenure tenure_;
   std::uint64_t read_version_ = 0;
   std::map<ServiceId, traffic::Service> services_;
   Term term_;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -221,9 +221,17 @@
   }
 }
 
+void GroupTask::Spawn(std::function<void()> body) {
+  ++calling_;
+  loop_.Spawn([this, body = std::move(body)] {
+    body();
+    --calling_;
+  });
+}
+
 void GroupTask::AskReports() {
   for (const auto& [rank, endpoint] : addresses_) {
-    loop_.Spawn([this, rank = rank, endpoint = endpoint] {
+    Spawn([this, rank = rank, endpoint = endpoint] {
       const EngineCalls::Answer answer =
           calls_.Ask(endpoint, protocol_.report_request(), kReportPatience);
       const auto report = protocol_.read_report(answer.body);
@@ -252,7 +260,7 @@
     if (!calls_.HasSidecar(addresses_.at(rank), now)) {
       continue;
     }
-    loop_.Spawn([this, rank, endpoint = addresses_.at(rank)] {
+    Spawn([this, rank, endpoint = addresses_.at(rank)] {
       const EngineCalls::Answer answer =
           calls_.Ask(endpoint, protocol_.picks_request(), kReportPatience);
       const auto picks = protocol_.read_picks(answer.body);
@@ -306,7 +314,7 @@
   reading->version = *version;
   reading->missing = addresses_.size();
   for (const auto& [rank, endpoint] : addresses_) {
-    loop_.Spawn([this, reading, rank = rank, endpoint = endpoint] {
+    Spawn([this, reading, rank = rank, endpoint = endpoint] {
       const auto read = protocol_.read_experts(
           calls_.Ask(endpoint, protocol_.experts_request(), kReportPatience)
               .body);
@@ -387,9 +395,11 @@
 }
 
 void GroupTask::SendOrder(const groups::RankOrder& order) {
-  loop_.Spawn([this, order] {
-    // A node that was suspended may have been replaced meanwhile.
+  Spawn([this, order] {
+    // A node that was suspended may have been replaced meanwhile. Where it
+    // still leads after all, the order is given later.
     if (!may_act_()) {
+      switch_.OnAnswer(order, groups::OrderAnswer::kUnanswered, SteadyNow());
       return;
     }
     const EngineCalls::Answer answer = calls_.Ask(
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -39,11 +39,16 @@
   // To be called often; starts what is due.
   void Tick();
   std::uint32_t ranks() const { return ranks_; }
+  // Whether calls are still on their way; a task must outlive them.
+  bool is_calling() const { return calling_ > 0; }
+  // Above every version that this task has given a map.
+  MapVersion unused_version() const { return switch_.unused_version(); }
   // Adds the ranks that are slow, by address, with how many times as long as
   // a healthy one they take, and those that do not answer (kMissingPace).
   void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
+  void Spawn(std::function<void()> body);
   void Pump();
   Duration busy_interval() const;
   Duration idle_interval() const;
@@ -93,6 +98,7 @@
   // No change is begun before.
   TimePoint calm_from_;
   bool is_reading_map_ = false;
+  std::uint32_t calling_ = 0;
 };
 
 }  // namespace bilberryspool::control_node
