A group that stands still and goes on loses no stream

Symptom: a stream was broken off and begun again elsewhere 1.6 s after its last event, also where the whole group stood still and would have gone on: all of its streams at once, each against the retry budget. The users' rules: a target's silence is no reason to end an answer sooner.

Cause: silence of a connection counted by itself. Now it counts only where the service has gone on without it: another target (or, for a connection alone, any target) was heard half a second after it fell silent, and again and again for 0.3 s. When a group goes on, its ranks' first bytes come a few milliseconds apart, so a first word after a pause says nothing yet.

--- a/src/libs/traffic/target_hearing.cc
+++ b/src/libs/traffic/target_hearing.cc
@@ -26,6 +26,9 @@
     service.other_heard_at = service.last_heard_at;
     service.last_heard = target;
   }
+  if (now - service.last_heard_at > options_.pause) {
+    service.talking_since = now;
+  }
   service.last_heard_at = now;
 }
 
@@ -50,6 +53,15 @@
   }
 }
 
+bool TargetHearing::HasOutlived(const Service& service,
+                                TimePoint heard_at,
+                                TimePoint quiet_since,
+                                TimePoint now) const {
+  return heard_at != TimePoint{} &&
+         heard_at - quiet_since >= options_.outlived_by &&
+         now - service.talking_since >= options_.talking_for;
+}
+
 bool TargetHearing::IsSuspect(const TargetId& target, TimePoint now) const {
   const auto found = targets_.find(target);
   if (found == targets_.end()) {
@@ -60,15 +72,22 @@
     return false;
   }
   const Service& heard = service->second;
+  const TimePoint quiet_since = found->second.quiet_since;
   const TimePoint other_at =
       heard.last_heard == target ? heard.other_heard_at : heard.last_heard_at;
-  if (other_at == TimePoint{} || now - other_at > options_.others_within) {
-    return false;
-  }
   const Duration usual(static_cast<Duration::rep>(
       options_.usual_times * static_cast<double>(heard.usual.count())));
-  return now - found->second.quiet_since >
-         std::max(options_.least_silence, usual);
+  return now - quiet_since > std::max(options_.least_silence, usual) &&
+         HasOutlived(heard, other_at, quiet_since, now);
+}
+
+bool TargetHearing::HasGoneOn(const ServiceId& service,
+                              TimePoint quiet_since,
+                              TimePoint now) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         HasOutlived(found->second, found->second.last_heard_at, quiet_since,
+                     now);
 }
 
 }  // namespace bilberryspool::traffic
--- a/src/libs/traffic/target_hearing.h
+++ b/src/libs/traffic/target_hearing.h
@@ -26,8 +26,16 @@
   // target one more.
   Duration least_silence = Milliseconds(1000);
   double usual_times = 4.0;
-  // Another target must have been heard as lately as this.
-  Duration others_within = Milliseconds(300);
+  // Another target must have been heard this long after it fell silent. Ranks
+  // of one group that stands still were all heard within one step of each
+  // other, 50 to 300 ms.
+  Duration outlived_by = Milliseconds(500);
+  // And the service must have been heard again and again for this long, with no
+  // pause of its own longer than `pause`: when a group goes on, the ranks'
+  // first bytes come a few milliseconds apart, and the last is not silent for
+  // that.
+  Duration talking_for = Milliseconds(300);
+  Duration pause = Milliseconds(400);
   // Weight of the newest answer in the usual time.
   double newest_weight = 0.1;
 };
@@ -45,6 +53,11 @@
   void OnEnded(const TargetId& target);
 
   bool IsSuspect(const TargetId& target, TimePoint now) const;
+  // Whether the service has gone on, at any of its targets, though nothing came
+  // on one connection since `quiet_since`.
+  bool HasGoneOn(const ServiceId& service,
+                 TimePoint quiet_since,
+                 TimePoint now) const;
 
  private:
   struct Target {
@@ -58,9 +71,15 @@
     TargetId last_heard;
     TimePoint last_heard_at;
     TimePoint other_heard_at;
+    TimePoint talking_since;
     Duration usual{};
   };
 
+  bool HasOutlived(const Service& service,
+                   TimePoint heard_at,
+                   TimePoint quiet_since,
+                   TimePoint now) const;
+
   TargetHearingOptions options_;
   std::map<TargetId, Target> targets_;  // those where requests wait
   std::map<ServiceId, Service> services_;
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -112,6 +112,12 @@
   bool IsSuspect(const TargetId& target, TimePoint now) const {
     return hearing_.IsSuspect(target, now);
   }
+  // Whether the service has gone on though one connection has been quiet.
+  bool HasGoneOn(const ServiceId& service,
+                 TimePoint quiet_since,
+                 TimePoint now) const {
+    return hearing_.HasGoneOn(service, quiet_since, now);
+  }
   // A part of the system is reachable again.
   void NoteReturn(TimePoint now) { outlook_.NoteReturn(now); }
   Outlook OutlookOf(const ServiceId& service, TimePoint now) const {
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -432,13 +432,10 @@
   return std::max(give_up_at_ - SteadyNow(), Duration::zero());
 }
 
-// A target that has begun to send events and stops without closing is dead, cut
-// off, or its connection has gone silent. Callers leave after two seconds
-// without an event; going on elsewhere before that saves the stream.
+// Silence alone is no reason to end an answer sooner: a group that stands still
+// goes on. LeaveIfSilent() knows more.
 Duration RelayCall::patience() const {
-  constexpr Duration kLongestSilence = Milliseconds(1600);
-  const Duration left = std::max(time_left(), Milliseconds(1));
-  return has_begun_ ? std::min(left, kLongestSilence) : left;
+  return std::max(time_left(), Milliseconds(1));
 }
 
 // Runs on the loop's dispatcher, which must not be suspended.
@@ -459,12 +456,21 @@
   const bool may_move_on =
       match_.route->may_repeat() && sends_ < match_.route->attempts;
   if (may_move_on && !caller_left_ && !has_left_target_ &&
-      state_.targets.IsSuspect(asked_, now)) {
+      (state_.targets.IsSuspect(asked_, now) || IsConnectionSilent(now))) {
     has_left_target_ = true;
     BreakOff();
   }
 }
 
+// The target may be well and only this connection dead: it carries nothing
+// more, and neither end is told. Callers leave after two seconds without an
+// event; going on elsewhere before that saves the stream.
+bool RelayCall::IsConnectionSilent(TimePoint now) const {
+  constexpr Duration kLongestSilence = Milliseconds(1600);
+  return has_begun_ && now - last_event_at_ > kLongestSilence &&
+         state_.targets.HasGoneOn(service_, last_event_at_, now);
+}
+
 void RelayCall::EndAt(const traffic::Choice& choice, TargetOutcome outcome) {
   trace_.EndSend(choice.target.value(),
                  outcome == TargetOutcome::kGood ? "" : "not served");
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -70,6 +70,7 @@
   Duration patience() const;
   void OnCallerLeft();
   void BreakOff();
+  bool IsConnectionSilent(TimePoint now) const;
   void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
   RequestTimes TimesAt(TimePoint now) const;
 
