Holds and releases of a step go by way of other control nodes

Cause: the freeze waits for a hold and strikes the VM that gave it. That was the VM beside the holding engine, whose sidecar passes all orders on; frozen, it takes its engine along, and a hold does not expire. Ruled out: holding for less time (the freeze strikes 1 ms after the answer); no hold (a late arm would then split the group); giving both orders from the node that leads (its loss costs an election and 0.3 s).

Now the other control nodes pass these two orders on, in turn (OrderHelpers, pure; EngineRelay is the sidecar's, shared).

Test: order_helpers_test (the release does not go by the node that passed the hold on; red while both went one way).

--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -50,7 +50,7 @@
             loop_,
             OptionsFor(settings.peers_listen, kMaxPeerBodyBytes),
             authenticator,
-            [](net::HttpExchange& exchange) { NotFound(exchange); },
+            [this](net::HttpExchange& exchange) { groups_.Relay(exchange); },
             [this](const std::string& peer, net::LinkRefusal refusal) {
               log_.Warn("Refused a peer.",
                         {{"peer", peer}, {"reason", net::Describe(refusal)}});
@@ -92,12 +92,6 @@
     return options;
   }
 
-  static void NotFound(net::HttpExchange& exchange) {
-    net::HttpResponseHead head;
-    head.status = 404;
-    exchange.Respond(std::move(head), "no such call\n");
-  }
-
   std::string Start() {
     node_.Register(peers_);
     watch_.Register(peers_);
--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -64,6 +64,32 @@
   return was_refused ? AskDirectly(engine, request, in_all) : Answer{};
 }
 
+EngineCalls::Answer EngineCalls::AskThrough(const net::Endpoint& helper,
+                                            const net::Endpoint& engine,
+                                            const net::HttpRequest& request,
+                                            const Patience& patience) {
+  const TimePoint asked = SteadyNow();
+  net::HttpRequest relayed = request;
+  relayed.headers.Set(sidecar::kPatienceField,
+                      std::to_string(patience.engine / Milliseconds(1)));
+  relayed.headers.Set(sidecar::kEngineField, engine.ToString());
+  auto result = links_.Send(helper, relayed, patience.engine + patience.way);
+  auto* response = std::get_if<net::HttpResponse>(&result);
+  if (response == nullptr) {
+    links_.DropIdle(helper);
+    log_.Info("A control node does not pass an order on.",
+              {{"node", helper.ToString()},
+               {"engine", engine.ToString()},
+               {"why", std::get<net::HttpError>(result).text}});
+    return {};
+  }
+  // 404: the helper does not know the engine.
+  const int status = response->head.status;
+  return status < net::status::kServerError && status != net::status::kNotFound
+             ? Answer{status, std::move(response->body), asked - kReportLag}
+             : Answer{};
+}
+
 EngineCalls::Answer EngineCalls::AskDirectly(const net::Endpoint& engine,
                                              const net::HttpRequest& request,
                                              Duration patience) {
--- a/src/plugins/control_node/engine_calls.h
+++ b/src/plugins/control_node/engine_calls.h
@@ -43,6 +43,11 @@
   Answer Ask(const net::Endpoint& engine,
              const net::HttpRequest& request,
              const Patience& patience);
+  // The same by way of `helper`, another control node.
+  Answer AskThrough(const net::Endpoint& helper,
+                    const net::Endpoint& engine,
+                    const net::HttpRequest& request,
+                    const Patience& patience);
 
  private:
   Answer AskDirectly(const net::Endpoint& engine,
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -4,9 +4,11 @@
 #include <utility>
 #include <variant>
 
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/traffic/watch_codec.h"
+#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::control_node {
 
@@ -30,6 +32,7 @@
     : loop_(loop),
       links_(client),
       calls_(loop, client, sidecar_port),
+      relay_(loop),
       node_(node),
       protocol_(std::move(protocol)),
       read_configuration_(std::move(read_configuration)),
@@ -69,6 +72,9 @@
     }
     std::map<std::string, double> slow;
     for (auto& [group, task] : tasks_) {
+      if (is_due) {
+        task->SetHelpers(Helpers());
+      }
       task->Tick();
       task->AddSlow(slow);
     }
@@ -80,6 +86,48 @@
   std::erase_if(ended_, [](const auto& task) { return !task->is_calling(); });
 }
 
+void GroupKeeper::Relay(net::HttpExchange& exchange) {
+  const auto engine = net::ParseEndpoint(
+      exchange.request().headers.ValueOr(sidecar::kEngineField, ""));
+  if (!engine.has_value() || !KnowsEngine(*engine)) {
+    net::HttpResponseHead head;
+    head.status = net::status::kNotFound;
+    exchange.Respond(std::move(head), "no such engine\n");
+    return;
+  }
+  const std::string why = relay_.Relay(exchange, *engine);
+  if (!why.empty()) {
+    log_.Info("An engine does not answer an order that was passed on.",
+              {{"engine", engine->ToString()}, {"why", why}});
+  }
+}
+
+bool GroupKeeper::KnowsEngine(const net::Endpoint& engine) const {
+  const std::string address = engine.ToString();
+  for (const traffic::TargetBook* book : {&others_, &node_.targets()}) {
+    for (const auto& [target, record] : book->records()) {
+      if (record.announcement.address == address &&
+          record.announcement.group.has_value()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::vector<net::Endpoint> GroupKeeper::Helpers() const {
+  // Each is asked once a second.
+  constexpr Duration kLately = Milliseconds(1600);
+  const TimePoint now = SteadyNow();
+  std::vector<net::Endpoint> helpers;
+  for (const auto& [node, mark] : marks_) {
+    if (now - mark.heard_at < kLately) {
+      helpers.push_back(node);
+    }
+  }
+  return helpers;
+}
+
 void GroupKeeper::LearnFromMembers() {
   std::set<net::Endpoint> nodes = std::exchange(told_nodes_, {});
   for (const net::Endpoint& node : node_.FindNodes()) {
@@ -111,7 +159,7 @@
   if (!answer.has_value()) {
     return;
   }
-  marks_[peer] = {answer->boot, answer->revision};
+  marks_[peer] = {answer->boot, answer->revision, SteadyNow()};
   node_.NoteNode(peer);
   node_.replica().LearnMembers(answer->members);
   for (const std::string& member : answer->members) {
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -21,6 +21,7 @@
 #include "plugins/control_node/engine_protocol.h"
 #include "plugins/control_node/group_task.h"
 #include "plugins/control_node/tenure.h"
+#include "plugins/sidecar/engine_relay.h"
 
 namespace bilberryspool::control_node {
 
@@ -34,12 +35,16 @@
               traffic::ConfigurationReader read_configuration);
 
   void Start();
+  // Passes an order of the control node that leads on to an engine; 404 for an
+  // engine that this node does not know.
+  void Relay(net::HttpExchange& exchange);
 
  private:
   // What this node has read of another's targets.
   struct Mark {
     std::uint64_t boot = 0;
     std::uint64_t revision = 0;
+    TimePoint heard_at;
   };
 
   void Run();
@@ -52,10 +57,14 @@
   void LearnFromMembers();
   void LearnFrom(const net::Endpoint& peer);
   const traffic::EngineModel* EngineOf(const ServiceId& service);
+  bool KnowsEngine(const net::Endpoint& engine) const;
+  // Other control nodes that have answered lately.
+  std::vector<net::Endpoint> Helpers() const;
 
   net::NetworkLoop& loop_;
   links::LinkClient& links_;
   EngineCalls calls_;
+  sidecar::EngineRelay relay_;
   ControlNode& node_;
   EngineProtocol protocol_;
   traffic::ConfigurationReader read_configuration_;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -416,9 +416,14 @@
       switch_.OnAnswer(order, groups::OrderAnswer::kUnanswered, SteadyNow());
       return;
     }
-    const EngineCalls::Answer answer = calls_.Ask(
-        addresses_.at(order.rank), protocol_.order_request(order, ranks_),
-        PatienceFor(order.order));
+    const net::HttpRequest request = protocol_.order_request(order, ranks_);
+    const net::Endpoint& engine = addresses_.at(order.rank);
+    const bool is_about_hold =
+        std::holds_alternative<groups::HoldStep>(order.order) ||
+        std::holds_alternative<groups::ReleaseStep>(order.order);
+    const EngineCalls::Answer answer =
+        is_about_hold ? AskForHold(engine, request)
+                      : calls_.Ask(engine, request, PatienceFor(order.order));
     switch_.OnAnswer(order,
                      answer.status == 0 ? groups::OrderAnswer::kUnanswered
                                         : protocol_.read_answer(answer.status),
@@ -427,4 +432,19 @@
   });
 }
 
+EngineCalls::Answer GroupTask::AskForHold(const net::Endpoint& engine,
+                                          const net::HttpRequest& request) {
+  constexpr EngineCalls::Patience kPatience{kOrderPatience, kOrderWay};
+  const auto helper = helpers_.Next();
+  if (!helper.has_value()) {
+    return calls_.Ask(engine, request, kPatience);
+  }
+  EngineCalls::Answer answer =
+      calls_.AskThrough(*helper, engine, request, kPatience);
+  if (answer.status == 0) {
+    helpers_.OnFailed(*helper);
+  }
+  return answer;
+}
+
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "libs/groups/step_switch.h"
 #include "libs/net/endpoint.h"
@@ -16,6 +17,7 @@
 #include "libs/traffic/traffic_configuration.h"
 #include "plugins/control_node/engine_calls.h"
 #include "plugins/control_node/engine_protocol.h"
+#include "plugins/control_node/order_helpers.h"
 
 namespace bilberryspool::control_node {
 
@@ -36,6 +38,10 @@
   void SetMayAct(std::function<bool()> may_act) {
     may_act_ = std::move(may_act);
   }
+  // Other control nodes that answer.
+  void SetHelpers(std::vector<net::Endpoint> helpers) {
+    helpers_.Set(std::move(helpers));
+  }
   // To be called often; starts what is due.
   void Tick();
   std::uint32_t ranks() const { return ranks_; }
@@ -71,6 +77,8 @@
   void NoteLateness(TimePoint now);
   void Plan(TimePoint now);
   void SendOrder(const groups::RankOrder& order);
+  EngineCalls::Answer AskForHold(const net::Endpoint& engine,
+                                 const net::HttpRequest& request);
   EngineCalls::Patience PatienceFor(const groups::EngineOrder& order) const;
   void NotePhase();
 
@@ -98,6 +106,7 @@
   TimePoint ticked_at_;
   // No change is begun before.
   TimePoint calm_from_;
+  OrderHelpers helpers_;
   bool is_reading_map_ = false;
   std::uint32_t calling_ = 0;
 };
--- a/src/plugins/sidecar/sidecar_call.h
+++ b/src/plugins/sidecar/sidecar_call.h
@@ -8,6 +8,8 @@
 // How many milliseconds the engine may take; the sidecar then answers 502 in
 // its place, so that the asker knows that the sidecar itself is well.
 inline constexpr char kPatienceField[] = "Patience-Ms";
+// "IP:PORT" of the engine, for relays that serve more than one.
+inline constexpr char kEngineField[] = "Engine";
 
 }  // namespace bilberryspool::sidecar
 
--- a/src/plugins/sidecar/sidecar_process.cc
+++ b/src/plugins/sidecar/sidecar_process.cc
@@ -12,14 +12,13 @@
 #include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/telemetry/log.h"
-#include "plugins/sidecar/sidecar_call.h"
+#include "plugins/sidecar/engine_relay.h"
 
 namespace bilberryspool::sidecar {
 
 namespace {
 
 // The engine is on the same VM; a control node waits no longer than this.
-constexpr Duration kEnginePatience = Milliseconds(400);
 
 class Process {
  public:
@@ -27,7 +26,7 @@
           std::shared_ptr<const net::LinkAuthenticator> authenticator)
       : engine_{settings.engine.ip, settings.engine.port},
         log_("sidecar"),
-        client_(loop_, net::HttpClientOptions{}),
+        relay_(loop_),
         server_(
             loop_,
             ServerOptions(settings),
@@ -64,42 +63,9 @@
     return options;
   }
 
-  // The engine gets method, target, type and body, and none of the fields that
-  // sign the link.
   void Relay(net::HttpExchange& exchange) {
-    const net::HttpRequest& asked = exchange.request();
-    net::HttpRequest request;
-    request.method = asked.method;
-    request.target = asked.target;
-    request.body = asked.body;
-    if (const auto type = asked.headers.Find("Content-Type")) {
-      request.headers.Add("Content-Type", std::string(*type));
-    }
-    const auto result = client_.Send(engine_, request, PatienceOf(asked));
-    net::HttpResponseHead head;
-    const auto* response = std::get_if<net::HttpResponse>(&result);
-    if (response == nullptr) {
-      const auto& error = std::get<net::HttpError>(result);
-      SetReachable(false, error.text);
-      client_.DropIdle(engine_);
-      head.status = net::status::kBadGateway;
-      exchange.Respond(std::move(head), "");
-      return;
-    }
-    SetReachable(true, "");
-    head.status = response->head.status;
-    exchange.Respond(std::move(head), response->body);
-  }
-
-  static Duration PatienceOf(const net::HttpRequest& asked) {
-    const std::string_view text = asked.headers.ValueOr(kPatienceField, "");
-    std::int64_t ms = 0;
-    const auto parsed =
-        std::from_chars(text.data(), text.data() + text.size(), ms);
-    if (parsed.ec != std::errc() || ms <= 0) {
-      return kEnginePatience;
-    }
-    return std::min(Milliseconds(ms), kEnginePatience);
+    const std::string why = relay_.Relay(exchange, engine_);
+    SetReachable(why.empty(), why);
   }
 
   void SetReachable(bool is_reachable, const std::string& why) {
@@ -114,7 +80,7 @@
   net::Endpoint engine_;
   telemetry::Logger log_;
   net::NetworkLoop loop_;
-  net::HttpClient client_;
+  EngineRelay relay_;
   links::LinkServer server_;
   bool is_reachable_ = true;
 };
--- /dev/null
+++ b/tests/auto/control_node/order_helpers_test.cc
@@ -0,0 +1,47 @@
+// Who passes the orders about a held step on.
+
+#include "plugins/control_node/order_helpers.h"
+
+#include <doctest/doctest.h>
+
+namespace bilberryspool::control_node {
+namespace {
+
+const net::Endpoint kOne{"10.0.0.1", 7000};
+const net::Endpoint kTwo{"10.0.0.2", 7000};
+
+// Symptom: a group stands still for 4 s. Sequence: a VM passes the hold on and
+// freezes; the release goes the same way and is not answered. Cause: one VM
+// stood for both.
+TEST_CASE("the release does not go by the node that passed the hold on") {
+  OrderHelpers helpers;
+  helpers.Set({kOne, kTwo});
+  for (int change = 0; change < 5; ++change) {
+    const auto hold = helpers.Next();
+    const auto release = helpers.Next();
+    REQUIRE(hold.has_value());
+    REQUIRE(release.has_value());
+    CHECK(*hold != *release);
+  }
+}
+
+TEST_CASE("a node that failed is passed over until it is told of again") {
+  OrderHelpers helpers;
+  helpers.Set({kOne, kTwo});
+  helpers.OnFailed(kOne);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(helpers.Next() == kTwo);
+  }
+  helpers.OnFailed(kTwo);
+  CHECK_FALSE(helpers.Next().has_value());
+  helpers.Set({kOne});
+  CHECK(helpers.Next() == kOne);
+}
+
+TEST_CASE("where there is no other node there is no helper") {
+  OrderHelpers helpers;
+  CHECK_FALSE(helpers.Next().has_value());
+}
+
+}  // namespace
+}  // namespace bilberryspool::control_node
