--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -7,12 +7,6 @@
 // out seconds after they were given up; the one who gives them may be replaced
 // in the middle. What prevents it:
 //
-// What else can go wrong: a rank that can't be reached while a step is held
-// stops the whole group, and since nobody can know whether it is armed, neither
-// a release nor clearing is safe until it answers. Copies take longer than all
-// the rest, so a rank that copied little may be gone long before the last one
-// is done. Hence every rank is heard anew right before the hold.
-//
 // - One rank holds step S before any rank is armed for S, so S can't begin
 //   while some are armed and others not.
 // - S is released only once every rank has confirmed that it is armed with the
@@ -25,6 +19,12 @@
 //   late order to arm an older one void.
 // - Versions are never used twice, and those of a successor are higher.
 //
+// What else can go wrong: a rank that can't be reached while a step is held
+// stops the whole group, and since nobody can know whether it is armed, neither
+// a release nor clearing is safe until it answers. Copies take longer than all
+// the rest, so a rank that copied little may be gone long before the last one
+// is done. Hence every rank is heard anew right before the hold.
+//
 // Once the step has begun at one rank it has begun at all, and those that were
 // armed have switched; late orders to hold it or to arm for it are void. So one
 // report of a later step ends the change: to wait for every rank took 0.24 to
--- /dev/null
+++ b/src/libs/groups/step_switch_orders.cc
@@ -0,0 +1,221 @@
+// StepSwitch: the orders and questions of each phase, and what answers mean.
+
+#include <utility>
+
+#include "libs/base/overloaded.h"
+#include "libs/groups/step_switch.h"
+
+namespace bilberryspool::groups {
+
+namespace {
+
+constexpr std::uint32_t kMostLateHolds = 8;
+
+bool SameOrder(const EngineOrder& left, const EngineOrder& right) {
+  if (left.index() != right.index()) {
+    return false;
+  }
+  return std::visit(
+      Overloaded{[&](const PrepareMap& order) {
+                   return order.version == std::get<PrepareMap>(right).version;
+                 },
+                 [&](const ArmMap& order) {
+                   const auto& other = std::get<ArmMap>(right);
+                   return order.version == other.version &&
+                          order.step == other.step;
+                 },
+                 [&](const DisarmMap& order) {
+                   return order.version == std::get<DisarmMap>(right).version;
+                 },
+                 [&](const HoldStep& order) {
+                   return order.step == std::get<HoldStep>(right).step;
+                 },
+                 [&](const ReleaseStep& order) {
+                   return order.step == std::get<ReleaseStep>(right).step;
+                 }},
+      left);
+}
+
+}  // namespace
+
+std::optional<EngineOrder> StepSwitch::OrderFor(RankIndex index,
+                                                const Rank& rank) const {
+  switch (phase_) {
+    case SwitchPhase::kObserving:
+    case SwitchPhase::kIdle:
+    case SwitchPhase::kConfirming:
+    case SwitchPhase::kSettling:
+      return std::nullopt;
+    case SwitchPhase::kPreparing:
+      return PrepareMap{target_version_, target_};
+    case SwitchPhase::kClearing:
+      if (rank.to_disarm.has_value()) {
+        return DisarmMap{*rank.to_disarm};
+      }
+      return PrepareMap{target_version_, target_};
+    case SwitchPhase::kArming:
+      return ArmMap{target_version_, step_};
+    case SwitchPhase::kHolding:
+      return index == holder_ ? std::optional<EngineOrder>(HoldStep{step_})
+                              : std::nullopt;
+    case SwitchPhase::kReleasing:
+      return index == holder_ ? std::optional<EngineOrder>(ReleaseStep{step_})
+                              : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::vector<RankOrder> StepSwitch::Tick(TimePoint now) {
+  CheckEpoch(now);
+  Advance(now);
+  std::vector<RankOrder> orders;
+  for (auto& [index, rank] : ranks_) {
+    if (rank.is_done || rank.is_pending || now < rank.send_next) {
+      continue;
+    }
+    if (auto order = OrderFor(index, rank)) {
+      rank.is_pending = true;
+      orders.push_back({index, epoch_, std::move(*order)});
+    }
+  }
+  return orders;
+}
+
+// Whether a report of the rank is what the phase waits for.
+bool StepSwitch::IsAskedNow(RankIndex index, const Rank& rank) const {
+  // A few, so that a silent one does not keep the change from ending.
+  constexpr std::uint32_t kToldByRanks = 3;
+  switch (phase_) {
+    case SwitchPhase::kPreparing:
+      return rank.is_copying && !rank.is_done;
+    case SwitchPhase::kConfirming:
+      return rank.heard_at <= entered_;
+    case SwitchPhase::kSettling:
+      return are_all_armed_ && index.value() < kToldByRanks;
+    case SwitchPhase::kObserving:
+    case SwitchPhase::kIdle:
+    case SwitchPhase::kHolding:
+    case SwitchPhase::kArming:
+    case SwitchPhase::kReleasing:
+    case SwitchPhase::kClearing:
+      return false;
+  }
+  return false;
+}
+
+bool StepSwitch::NeedsAllReports(TimePoint now) const {
+  // A step that was not released as it was held, or an idle group.
+  constexpr Duration kSoon = Milliseconds(300);
+  return phase_ == SwitchPhase::kObserving ||
+         (phase_ == SwitchPhase::kSettling &&
+          (!are_all_armed_ || now - entered_ > kSoon));
+}
+
+std::vector<RankIndex> StepSwitch::Questions(TimePoint now) {
+  const Duration interval = phase_ == SwitchPhase::kPreparing
+                                ? options_.copy_poll
+                                : options_.ask_again;
+  std::vector<RankIndex> asked;
+  for (auto& [index, rank] : ranks_) {
+    if (now < rank.ask_next || !IsAskedNow(index, rank)) {
+      continue;
+    }
+    rank.ask_next = now + interval;
+    asked.push_back(index);
+  }
+  return asked;
+}
+
+// Answers of an earlier phase or of another change say nothing of this one.
+bool StepSwitch::IsAwaited(const RankOrder& order) const {
+  const auto found = ranks_.find(order.rank);
+  if (found == ranks_.end() || order.epoch != epoch_ ||
+      !found->second.is_pending) {
+    return false;
+  }
+  const auto expected = OrderFor(order.rank, found->second);
+  return expected.has_value() && SameOrder(*expected, order.order);
+}
+
+void StepSwitch::OnAnswer(const RankOrder& order,
+                          OrderAnswer answer,
+                          TimePoint now) {
+  if (!IsAwaited(order)) {
+    return;
+  }
+  Rank& rank = ranks_.at(order.rank);
+  rank.is_pending = false;
+  if (rank.is_done) {
+    return;
+  }
+  switch (answer) {
+    case OrderAnswer::kDone:
+      if (rank.to_disarm.has_value()) {
+        rank.to_disarm.reset();
+        rank.send_next = now;
+      } else {
+        rank.is_done = true;
+      }
+      break;
+    case OrderAnswer::kBegun:
+      if (phase_ != SwitchPhase::kPreparing) {
+        rank.send_next = now + options_.copy_poll;
+        break;
+      }
+      rank.is_copying = true;
+      rank.ask_next = now + copies_;
+      rank.send_next = now + copies_ + options_.copy_resend;
+      break;
+    case OrderAnswer::kUnanswered:
+      rank.send_next = now;
+      break;
+    case OrderAnswer::kRefused:
+      OnRefused(order, rank, now);
+      break;
+  }
+}
+
+void StepSwitch::OnRefused(const RankOrder& order, Rank& rank, TimePoint now) {
+  rank.send_next = now + options_.resend_after;
+  switch (phase_) {
+    case SwitchPhase::kPreparing:
+      GiveUp("a rank refused to prepare", now);
+      return;
+    case SwitchPhase::kHolding:
+      // The group was faster than thought.
+      if (++late_holds_ >= kMostLateHolds) {
+        GiveUp("the step to hold was always over", now);
+        return;
+      }
+      ChooseStep(now);
+      rank.send_next = now;
+      return;
+    case SwitchPhase::kArming:
+      why_ = "a rank refused to be armed";
+      BeginClearing(now);
+      return;
+    case SwitchPhase::kClearing:
+      if (rank.to_disarm.has_value()) {
+        // It is not armed with that any more.
+        rank.to_disarm.reset();
+      } else if (rank.report.has_value() && rank.report->armed.has_value()) {
+        rank.to_disarm = rank.report->armed->version;
+      } else if (rank.report.has_value() && rank.report->prepared.has_value() &&
+                 *rank.report->prepared >= target_version_) {
+        next_version_ = std::max(next_version_, rank.report->prepared->Next());
+        BeginClearing(now);
+      }
+      return;
+    case SwitchPhase::kReleasing:
+      // Nothing is held there.
+      rank.is_done = true;
+      return;
+    case SwitchPhase::kObserving:
+    case SwitchPhase::kIdle:
+    case SwitchPhase::kConfirming:
+    case SwitchPhase::kSettling:
+      return;
+  }
+  static_cast<void>(order);
+}
+}  // namespace bilberryspool::groups
