--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -87,11 +87,7 @@
                {"why", std::get<net::HttpError>(result).text}});
     return {};
   }
-  // 404: the helper does not know the engine.
-  const int status = response->head.status;
-  return status < net::status::kServerError && status != net::status::kNotFound
-             ? Answer{status, std::move(response->body), asked - kReportLag}
-             : Answer{};
+  return {response->head.status, std::move(response->body), asked - kReportLag};
 }
 
 EngineCalls::Answer EngineCalls::AskDirectly(const net::Endpoint& engine,
--- a/src/plugins/control_node/engine_calls.h
+++ b/src/plugins/control_node/engine_calls.h
@@ -43,7 +43,8 @@
   Answer Ask(const net::Endpoint& engine,
              const net::HttpRequest& request,
              const Patience& patience);
-  // The same by way of `helper`, another control node.
+  // The same by way of `helper`, another control node; the status is the
+  // helper's, see JudgePassing().
   Answer AskThrough(const net::Endpoint& helper,
                     const net::Endpoint& engine,
                     const net::HttpRequest& request,
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -441,10 +441,13 @@
   }
   EngineCalls::Answer answer =
       calls_.AskThrough(*helper, engine, request, kPatience);
-  if (answer.status == 0) {
-    helpers_.OnFailed(*helper);
+  const Passing passing = JudgePassing(answer.status);
+  helpers_.OnPassed(*helper, passing);
+  if (passing == Passing::kHelperFailed) {
+    log_.Info("An order about a hold goes by way of another node.",
+              {{"failed", helper->ToString()}, {"status", answer.status}});
   }
-  return answer;
+  return passing == Passing::kAnswered ? answer : EngineCalls::Answer{};
 }
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/order_helpers.h
+++ b/src/plugins/control_node/order_helpers.h
@@ -20,9 +20,25 @@
 #include <vector>
 
 #include "libs/net/endpoint.h"
+#include "libs/net/http_status.h"
 
 namespace bilberryspool::control_node {
 
+// What the status that a helper answered says; 0: it did not answer.
+enum class Passing {
+  kAnswered,      // the engine's own answer
+  kEngineSilent,  // the helper is well, its engine did not answer it
+  kHelperFailed,  // out of reach, or it does not know the engine
+};
+
+inline Passing JudgePassing(int status) {
+  if (status == 0 || status == net::status::kNotFound) {
+    return Passing::kHelperFailed;
+  }
+  return status < net::status::kServerError ? Passing::kAnswered
+                                            : Passing::kEngineSilent;
+}
+
 class OrderHelpers {
  public:
   // The other control nodes that answer; one that failed may be among them
@@ -37,7 +53,14 @@
     return nodes_[turn_++ % nodes_.size()];
   }
 
-  void OnFailed(const net::Endpoint& node) { std::erase(nodes_, node); }
+  // What became of an order by way of `node`. An engine that leaves orders
+  // unanswered says nothing against whoever passed them on: were that node left
+  // out too, two lost orders would lead back to the VM beside the engine.
+  void OnPassed(const net::Endpoint& node, Passing passing) {
+    if (passing == Passing::kHelperFailed) {
+      std::erase(nodes_, node);
+    }
+  }
 
  private:
   std::vector<net::Endpoint> nodes_;
--- a/tests/auto/control_node/order_helpers_test.cc
+++ b/tests/auto/control_node/order_helpers_test.cc
@@ -28,16 +28,47 @@
 TEST_CASE("a node that failed is passed over until it is told of again") {
   OrderHelpers helpers;
   helpers.Set({kOne, kTwo});
-  helpers.OnFailed(kOne);
+  helpers.OnPassed(kOne, Passing::kHelperFailed);
   for (int i = 0; i < 3; ++i) {
     CHECK(helpers.Next() == kTwo);
   }
-  helpers.OnFailed(kTwo);
+  helpers.OnPassed(kTwo, Passing::kHelperFailed);
   CHECK_FALSE(helpers.Next().has_value());
   helpers.Set({kOne});
   CHECK(helpers.Next() == kOne);
 }
 
+// Symptom: a freeze stops the group for its length although others could pass
+// the hold on. Sequence: two orders are lost at an engine; both helpers are
+// left out for it; the next hold goes by the VM beside the engine, which
+// freezes. Cause: the engine's silence counted against the node that passed the
+// order on.
+TEST_CASE("an engine's silence says nothing against its helper") {
+  OrderHelpers helpers;
+  helpers.Set({kOne, kTwo});
+  for (int i = 0; i < 6; ++i) {
+    const auto helper = helpers.Next();
+    REQUIRE(helper.has_value());
+    helpers.OnPassed(*helper, JudgePassing(net::status::kBadGateway));
+  }
+  CHECK(helpers.Next().has_value());
+}
+
+TEST_CASE("what a helper's status says") {
+  struct Row {
+    int status;
+    Passing passing;
+  };
+  const Row rows[] = {
+      {0, Passing::kHelperFailed}, {200, Passing::kAnswered},
+      {202, Passing::kAnswered},   {404, Passing::kHelperFailed},
+      {409, Passing::kAnswered},   {502, Passing::kEngineSilent}};
+  for (const Row& row : rows) {
+    CAPTURE(row.status);
+    CHECK(JudgePassing(row.status) == row.passing);
+  }
+}
+
 TEST_CASE("where there is no other node there is no helper") {
   OrderHelpers helpers;
   CHECK_FALSE(helpers.Next().has_value());
