Read as a newcomer: a name that meant two things, one request made twice, origins

Ruled out as not worth it: one class for the two halves of watch_codec, which share a shape and no logic.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -261,7 +261,7 @@
 }
 
 // All ranks use the target from now on.
-void StepSwitch::TakeOver(TimePoint now) {
+void StepSwitch::EndChange(TimePoint now) {
   map_ = target_;
   version_ = target_version_;
   Enter(SwitchPhase::kIdle, now);
@@ -270,7 +270,7 @@
 // Released: the ranks switch as the step begins, which an idle group puts off.
 void StepSwitch::Settle(TimePoint now) {
   if (HasBegunAsArmed()) {
-    TakeOver(now);
+    EndChange(now);
     return;
   }
   if (!AllReportedSince(entered_)) {
@@ -296,7 +296,7 @@
   }
   const MapVersion in_use = ranks_.begin()->second.report->map;
   if (in_use == target_version_ && target_ != nullptr) {
-    TakeOver(now);
+    EndChange(now);
     return;
   }
   if (in_use != version_) {
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -53,10 +53,11 @@
   // A rank is asked for a report when its copies should be done, and again at
   // this interval until they are.
   Duration copy_poll = Milliseconds(20);
-  // A rank that still says nothing of its copies is given the order again.
+  // A rank that still says nothing of its copies is given the order again: the
+  // engine may have lost it. Chosen, a few polls; not seen to be needed.
   Duration copy_resend = Milliseconds(300);
   // Ranks that were not heard yet where all have to be, and the few that tell
-  // when a step begins, are asked at this interval.
+  // when a step begins, are asked at this interval. Answers take 10 to 30 ms.
   Duration ask_again = Milliseconds(40);
   // How far ahead of the present step the switch is put, so that all ranks are
   // armed before the group gets there and need not wait; the time that arming
@@ -65,7 +66,10 @@
   Duration lead = Milliseconds(15);
   Duration longest_lead = Milliseconds(1000);
   // The group rather stands still for this part of a step than make one more
-  // step with the old map, which is changed because it makes steps last longer.
+  // step with the old map, which is changed because it makes steps last longer:
+  // at three times the even load a step lost costs two thirds of its length.
+  // Chosen below that; with 72 ranks and lost orders 0.03 of the worth of a
+  // day, measured together with orders given again sooner.
   double wait_for_switch = 0.4;
   // What is left of a long arming in the expectation after each further change.
   double arming_memory = 0.7;
@@ -164,7 +168,7 @@
   void Observe(TimePoint now);
   void Settle(TimePoint now);
   bool HasBegunAsArmed() const;
-  void TakeOver(TimePoint now);
+  void EndChange(TimePoint now);
   bool IsAskedNow(RankIndex index, const Rank& rank) const;
   void BeginClearing(TimePoint now);
   void GiveUp(std::string why, TimePoint now);
@@ -178,7 +182,7 @@
   std::map<RankIndex, Rank> ranks_;
   SwitchPhase phase_ = SwitchPhase::kObserving;
   TimePoint entered_;
-  // When the last orders of a predecessor show in reports.
+  // From then on the last orders of a predecessor show in reports.
   TimePoint taken_over_;
   // Reports must describe the ranks as of after this to be judged.
   TimePoint trusted_from_;
--- a/src/libs/groups/step_switch_orders.cc
+++ b/src/libs/groups/step_switch_orders.cc
@@ -1,5 +1,6 @@
 // StepSwitch: the orders and questions of each phase, and what answers mean.
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/base/overloaded.h"
@@ -104,7 +105,8 @@
 }
 
 bool StepSwitch::NeedsAllReports(TimePoint now) const {
-  // A step that was not released as it was held, or an idle group.
+  // A step that was not released as it was held, or an idle group, which begins
+  // none. Steps under way last 50 to 300 ms.
   constexpr Duration kSoon = Milliseconds(300);
   return phase_ == SwitchPhase::kObserving ||
          (phase_ == SwitchPhase::kSettling &&
@@ -218,4 +220,5 @@
   }
   static_cast<void>(order);
 }
+
 }  // namespace bilberryspool::groups
--- a/src/libs/placement/bounded_plan.h
+++ b/src/libs/placement/bounded_plan.h
@@ -55,11 +55,13 @@
   // How much longer steps last while experts are copied (engines' pages).
   double slowdown = 0.15;
   // The copies of the smallest change that is looked at, in steps of which
-  // larger ones are, and of the largest. Orders for a change take about 0.1 s.
+  // larger ones are, and of the largest. Orders for a change take about 0.1 s;
+  // three copies of 0.11 s were the size of all changes before.
   Duration least_copies = Milliseconds(115);
   Duration longest_copies = Milliseconds(350);
   // No larger change is looked at where one brings the imbalance below this
-  // multiple of what is good enough.
+  // multiple of what is good enough: a plan takes 2 to 4 ms of 72 ranks, 13 to
+  // 27 ms on 0.15 of a core.
   double near_enough = 1.15;
 };
 
--- a/src/libs/traffic/target_codec.cc
+++ b/src/libs/traffic/target_codec.cc
@@ -93,6 +93,8 @@
 }
 
 packing::PackedText PackTargets(const std::vector<TargetRecord>& records) {
+  // Bytes; about three records. Below it the frame and base64 take what packing
+  // saves.
   constexpr std::size_t kWorthPacking = 1024;
   json::array array;
   for (const TargetRecord& record : records) {
--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -10,12 +10,20 @@
 
 namespace {
 
-// A sidecar that did not answer is not asked again for this long.
+// A sidecar that did not answer is not asked again for this long. Chosen: with
+// 2 s groups that formed anew after a cut were asked from afar, 0.3 s behind.
 constexpr Duration kSidecarRest = Milliseconds(700);
 // An engine's reports describe it as it was up to this long before, unless a
 // sidecar asks.
 constexpr Duration kReportLag = Milliseconds(300);
 
+net::HttpRequest Relayed(net::HttpRequest request,
+                         const EngineCalls::Patience& patience) {
+  request.headers.Set(sidecar::kPatienceField,
+                      std::to_string(patience.engine / Milliseconds(1)));
+  return request;
+}
+
 }  // namespace
 
 EngineCalls::EngineCalls(net::NetworkLoop& loop,
@@ -40,10 +48,7 @@
     return AskDirectly(engine, request, in_all);
   }
   const net::Endpoint sidecar{engine.address, sidecar_port_};
-  net::HttpRequest relayed = request;
-  relayed.headers.Set(sidecar::kPatienceField,
-                      std::to_string(patience.engine / Milliseconds(1)));
-  auto result = links_.Send(sidecar, relayed, in_all);
+  auto result = links_.Send(sidecar, Relayed(request, patience), in_all);
   if (auto* response = std::get_if<net::HttpResponse>(&result)) {
     sidecar_failed_at_.erase(engine.address);
     // The sidecar is well; its engine did not answer it, nor would it us.
@@ -73,9 +78,7 @@
                                             const net::HttpRequest& request,
                                             const Patience& patience) {
   const TimePoint asked = SteadyNow();
-  net::HttpRequest relayed = request;
-  relayed.headers.Set(sidecar::kPatienceField,
-                      std::to_string(patience.engine / Milliseconds(1)));
+  net::HttpRequest relayed = Relayed(request, patience);
   relayed.headers.Set(sidecar::kEngineField, engine.ToString());
   auto result = links_.Send(helper, relayed, patience.engine + patience.way);
   auto* response = std::get_if<net::HttpResponse>(&result);
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -117,7 +117,7 @@
 }
 
 std::vector<net::Endpoint> GroupKeeper::Helpers() const {
-  // Each is asked once a second.
+  // Each is asked once a second and may take half a second to answer.
   constexpr Duration kLately = Milliseconds(1600);
   const TimePoint now = SteadyNow();
   std::vector<net::Endpoint> helpers;
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -101,7 +101,9 @@
 groups::StepSwitchOptions SwitchOptions(std::uint32_t ranks) {
   groups::StepSwitchOptions options;
   options.ranks = ranks;
-  // Ranks confirm one after the other, as the orders reached them.
+  // Ranks confirm one after the other, as the orders reached them; most are
+  // done when first asked. Chosen, 36 ms with 72 ranks; the order repeated with
+  // the whole map took 90 ms.
   constexpr Duration kPollPerRank = Microseconds(500);
   options.copy_poll = kPollPerRank * ranks;
   return options;
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -53,8 +53,11 @@
   answer.slow_revision = node_.slow_revision();
   answer.slow_targets = node_.slow_targets();
   answer.is_whole = !knows_this_boot;
+  // Half of what news wait for anyway: an asker that was told up to an older
+  // revision asks again at once.
+  const Duration freshness = GatheringTime() / 2;
   TargetNews::Part part =
-      news_.Since(node_.targets(), revision, GatheringTime() / 2, SteadyNow());
+      news_.Since(node_.targets(), revision, freshness, SteadyNow());
   answer.revision = part.revision;
   answer.targets = std::move(part.targets);
   for (const net::Endpoint& member : node_.FindNodes()) {
