--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -1,13 +1,10 @@
 #include "plugins/control_node/group_task.h"
 
 #include <algorithm>
-#include <cmath>
 
-#include "libs/groups/slow_ranks.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/placement/bounded_plan.h"
-#include "libs/traffic/target_pool.h"
 
 namespace bilberryspool::control_node {
 
@@ -23,12 +20,6 @@
 // does not answer, within this part of those reports.
 constexpr Duration kIdleReports = Milliseconds(250);
 constexpr double kIdleShare = 0.4;
-// A rank that left out more reports than this while most others have answered
-// is taken for cut off or frozen (0.63 s with 16 ranks, 1.1 s with 72): one
-// report may get lost. Callers that are sent there would wait for nothing until
-// each gateway has noticed by itself.
-constexpr double kMissingReports = 2.5;
-constexpr EngineCalls::Patience kReportPatience{Milliseconds(300)};
 // Orders are answered at once, and the group may be standing still until the
 // last one is: a lost one is given again soon. An engine answers its sidecar
 // within a few milliseconds; to send an order to all ranks takes up to 1 ms
@@ -37,15 +28,8 @@
 constexpr Duration kOrderWay = Milliseconds(40);
 constexpr Duration kMapWay = Milliseconds(80);
 constexpr Duration kOrderTimePerRank = Milliseconds(1);
-// How often picks are read, and from how many ranks. Requests differ in what
-// they ask for, and a rank has about seven: of three ranks of 16 the counts
-// showed an imbalance of 1.6 to 2.0 right after each change that was planned to
-// leave 1.25, for seconds, and maps were changed for nothing. Of all 16 ranks
-// in place of 3 the mean worth of 15 days with trouble is 0.487 in place of
-// 0.442, with half of the copies; of 16 ranks of 72 it is 0.50 in place of 0.45
-// (five days, together with slow ranks left out).
+// How often picks are read.
 constexpr Duration kPicksInterval = Milliseconds(60);
-constexpr std::uint32_t kSampledRanks = 16;
 // Below this many counts the shares of rare experts are noise.
 constexpr double kLeastWeight = 10'000.0;
 // How much a change must shorten the layers, and down to which imbalance a
@@ -63,21 +47,6 @@
 constexpr double kLeastPace = 1.0;
 constexpr Duration kPlanInterval = Milliseconds(50);
 
-// The map of a group that has just formed: experts in turn.
-std::shared_ptr<const placement::ExpertMap> FirstMap(
-    const traffic::EngineModel& engine,
-    std::uint32_t ranks) {
-  auto map = std::make_shared<placement::ExpertMap>(engine.expert_layers,
-                                                    engine.experts_per_layer);
-  for (std::uint32_t layer = 0; layer < engine.expert_layers; ++layer) {
-    for (std::uint32_t e = 0; e < engine.experts_per_layer; ++e) {
-      map->Add({placement::LayerIndex(layer), ExpertIndex(e)},
-               RankIndex(e % ranks));
-    }
-  }
-  return map;
-}
-
 std::string_view NameOf(SwitchPhase phase) {
   switch (phase) {
     case SwitchPhase::kObserving:
@@ -167,6 +136,7 @@
   }
   const TimePoint now = SteadyNow();
   NoteLateness(now);
+  NoteState(now);
   if (now >= reports_due_) {
     reports_due_ = now + (switch_.NeedsAllReports(now) ? busy_interval()
                                                        : idle_interval());
@@ -193,6 +163,44 @@
   ticked_at_ = now;
 }
 
+// What the pauses and first events of callers follow from; one line a second.
+void GroupTask::NoteState(TimePoint now) {
+  constexpr Duration kBetweenLines = Seconds(1);
+  if (now - state_at_ < kBetweenLines) {
+    return;
+  }
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  double slowest = 0.0;
+  for (const auto& [rank, load] : loads_at_) {
+    running += load.running;
+    waiting += load.waiting;
+  }
+  for (const auto& [rank, pace] : paces_) {
+    slowest = std::max(slowest, pace);
+  }
+  const std::uint64_t step = newest_step_.value();
+  const std::uint64_t steps = step > state_step_ ? step - state_step_ : 0;
+  const auto elapsed = static_cast<std::uint64_t>((now - state_at_).count());
+  constexpr std::uint64_t kMicrosecondsPerMs = 1000;
+  constexpr double kPercent = 100.0;
+  log_.Info("Group state.",
+            {{"group", group_.value()},
+             {"epoch", switch_.epoch().value()},
+             {"version", switch_.version().value()},
+             {"step", step},
+             {"step_ms", steps == 0 || state_at_ == TimePoint{}
+                             ? 0
+                             : elapsed / kMicrosecondsPerMs / steps},
+             {"running", running},
+             {"waiting", waiting},
+             {"slots", engine_.slots * ranks_},
+             {"slowest_percent", static_cast<int>(slowest * kPercent)},
+             {"heard", heard_at_.size()}});
+  state_at_ = now;
+  state_step_ = step;
+}
+
 // Sends what is due, and plans as soon as there is room for a change.
 void GroupTask::Pump() {
   const TimePoint now = SteadyNow();
@@ -242,138 +250,6 @@
   });
 }
 
-void GroupTask::AskReports() {
-  for (const auto& [rank, endpoint] : addresses_) {
-    AskReport(rank, endpoint);
-  }
-}
-
-void GroupTask::AskReport(RankIndex rank, const net::Endpoint& endpoint) {
-  Spawn([this, rank, endpoint] {
-    const EngineCalls::Answer answer =
-        calls_.Ask(endpoint, protocol_.report_request(), kReportPatience);
-    const auto report = protocol_.read_report(answer.body);
-    if (!report.has_value()) {
-      return;
-    }
-    paces_[rank] = report->pace;
-    heard_at_[rank] = SteadyNow();
-    loads_at_[rank] = report->running + report->waiting;
-    switch_.OnReport(rank, *report, answer.as_of, SteadyNow());
-    Pump();
-  });
-}
-
-void GroupTask::AskPicks() {
-  const std::uint32_t stride = std::max(1U, ranks_ / kSampledRanks);
-  const TimePoint now = SteadyNow();
-  for (std::uint32_t i = 0; i < kSampledRanks && i < ranks_; ++i) {
-    RankIndex rank((i * stride) % ranks_);
-    // Read from afar the counts make the whole group pause.
-    for (std::uint32_t tries = 0;
-         tries < stride && !calls_.HasSidecar(addresses_.at(rank), now);
-         ++tries) {
-      rank = RankIndex((rank.value() + 1) % ranks_);
-    }
-    if (!calls_.HasSidecar(addresses_.at(rank), now)) {
-      continue;
-    }
-    Spawn([this, rank, endpoint = addresses_.at(rank)] {
-      const EngineCalls::Answer answer =
-          calls_.Ask(endpoint, protocol_.picks_request(), kReportPatience);
-      const auto picks = protocol_.read_picks(answer.body);
-      if (picks.has_value()) {
-        loads_.Observe(rank,
-                       {picks->counts, picks->step.value(), loads_at_[rank]},
-                       SteadyNow());
-        switch_.OnStep(picks->epoch, picks->step, answer.as_of);
-        Pump();
-      }
-    });
-  }
-}
-
-void GroupTask::AddSlow(std::map<std::string, double>& by_address) const {
-  const groups::BatchTimes times{engine_.slots, engine_.step,
-                                 engine_.step_per_request,
-                                 engine_.expert_share};
-  for (const RankIndex rank : groups::FindSlowRanks(paces_, times)) {
-    // In steps of a half, so that a small change is no news.
-    by_address[addresses_.at(rank).ToString()] =
-        std::round(paces_.at(rank) * 2.0) / 2.0;
-  }
-  const TimePoint now = SteadyNow();
-  std::vector<RankIndex> missing;
-  for (const auto& [rank, heard_at] : heard_at_) {
-    if (ToSeconds(now - heard_at) >
-        kMissingReports * ToSeconds(idle_interval())) {
-      missing.push_back(rank);
-    }
-  }
-  // Where most are missing, it is this node that is cut off.
-  if (missing.size() * 2 >= heard_at_.size()) {
-    return;
-  }
-  for (const RankIndex rank : missing) {
-    by_address[addresses_.at(rank).ToString()] = traffic::kMissingPace;
-  }
-}
-
-// Whoever takes a group over has to learn what the map in use holds.
-void GroupTask::ReadMap() {
-  const auto version = switch_.unread_version();
-  if (!version.has_value() || is_reading_map_) {
-    return;
-  }
-  if (version->value() == 0) {
-    switch_.OnMapRead(*version, FirstMap(engine_, ranks_));
-    return;
-  }
-  is_reading_map_ = true;
-  // All ranks at once: the group may be standing still until the map is known.
-  auto reading = std::make_shared<MapReading>();
-  reading->map = std::make_shared<placement::ExpertMap>(
-      engine_.expert_layers, engine_.experts_per_layer);
-  reading->version = *version;
-  reading->missing = addresses_.size();
-  for (const auto& [rank, endpoint] : addresses_) {
-    Spawn([this, reading, rank = rank, endpoint = endpoint] {
-      const auto read = protocol_.read_experts(
-          calls_.Ask(endpoint, protocol_.experts_request(), kReportPatience)
-              .body);
-      if (!read.has_value() || read->version != reading->version ||
-          read->experts.size() != engine_.expert_layers) {
-        reading->is_whole = false;
-      } else {
-        AddExperts(*reading->map, rank, read->experts);
-      }
-      if (--reading->missing == 0) {
-        EndReading(*reading);
-      }
-    });
-  }
-}
-
-void GroupTask::AddExperts(
-    placement::ExpertMap& map,
-    RankIndex rank,
-    const std::vector<std::vector<ExpertIndex>>& experts) const {
-  for (std::uint32_t layer = 0; layer < engine_.expert_layers; ++layer) {
-    for (const ExpertIndex expert : experts[layer]) {
-      map.Add({placement::LayerIndex(layer), expert}, rank);
-    }
-  }
-}
-
-void GroupTask::EndReading(const MapReading& reading) {
-  if (reading.is_whole && reading.map->Orphans().empty()) {
-    switch_.OnMapRead(reading.version, reading.map);
-    Pump();
-  }
-  loop_.SleepFor(busy_interval());
-  is_reading_map_ = false;
-}
-
 void GroupTask::Plan(TimePoint now) {
   if (loads_.weight() < kLeastWeight || switch_.map() == nullptr) {
     return;
@@ -383,8 +259,8 @@
   options.places = engine_.expert_places;
   options.new_experts = engine_.new_experts;
   double requests = 0.0;
-  for (const auto& [rank, count] : loads_at_) {
-    requests += count;
+  for (const auto& [rank, load] : loads_at_) {
+    requests += load.running + load.waiting;
   }
   const bool is_busy = requests > kBusyShare * engine_.slots * ranks_;
   const Ambition& ambition = is_busy ? kBusyAmbition : kCalmAmbition;
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -49,16 +49,19 @@
   bool is_calling() const { return calling_ > 0; }
   // Above every version that this task has given a map.
   MapVersion unused_version() const { return switch_.unused_version(); }
-  // Adds the ranks that are slow, by address, with how many times as long as
-  // a healthy one they take, and those that do not answer (kMissingPace).
+  // Adds the ranks that are too slow to be given requests, by address, with how
+  // many times as long as a healthy one they take, and those that do not answer
+  // (kMissingPace).
   void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
+  // group_task.cc
   void Spawn(std::function<void()> body);
   void Pump();
   void SendDue(TimePoint now);
   Duration busy_interval() const;
   Duration idle_interval() const;
+  // group_task_readings.cc
   void AskReports();
   void AskReport(RankIndex rank, const net::Endpoint& endpoint);
   void AskPicks();
@@ -74,7 +77,9 @@
                   RankIndex rank,
                   const std::vector<std::vector<ExpertIndex>>& experts) const;
   void EndReading(const MapReading& reading);
+  // group_task.cc
   void NoteLateness(TimePoint now);
+  void NoteState(TimePoint now);
   void Plan(TimePoint now);
   void SendOrder(const groups::RankOrder& order);
   EngineCalls::Answer AskForHold(const net::Endpoint& engine,
@@ -96,8 +101,15 @@
   // How many times as long as a healthy rank each one takes.
   std::map<RankIndex, double> paces_;
   std::map<RankIndex, TimePoint> heard_at_;
-  // Requests that run or wait there.
-  std::map<RankIndex, std::uint32_t> loads_at_;
+  struct RankLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+  };
+  std::map<RankIndex, RankLoad> loads_at_;
+  groups::StepNumber newest_step_;
+  // When the state was logged last, and the step of that time.
+  TimePoint state_at_;
+  std::uint64_t state_step_ = 0;
   groups::SwitchPhase last_phase_ = groups::SwitchPhase::kObserving;
   TimePoint reports_due_;
   TimePoint picks_due_;
