Linter: reserved, widths written out

Cause: clang-tidy on the new files. Before: four findings in slow_ranks.cc and pick_work_test.cc. After: none in them; placement and replay tests pass. Conclusion: no change of behaviour.

--- a/src/libs/groups/slow_ranks.cc
+++ b/src/libs/groups/slow_ranks.cc
@@ -15,6 +15,7 @@
 
 std::vector<Pace> FastestFirst(const std::map<RankIndex, double>& paces) {
   std::vector<Pace> sorted;
+  sorted.reserve(paces.size());
   for (const auto& [rank, pace] : paces) {
     sorted.push_back({rank, std::max(pace, 1.0)});
   }
--- a/tests/auto/placement/pick_work_test.cc
+++ b/tests/auto/placement/pick_work_test.cc
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kRanks = 16;
 constexpr std::uint32_t kLayers = 4;
 constexpr std::uint32_t kExperts = 64;
+constexpr std::size_t kCounters = std::size_t{kLayers} * kExperts;
 constexpr std::uint32_t kTopics = 9;
 constexpr std::uint32_t kPicksOfToken = 40;  // in each layer
 constexpr std::uint32_t kTokensOfStep = 4;   // of each request
@@ -28,8 +29,8 @@
  public:
   explicit Demand(std::uint64_t seed)
       : random_(seed),
-        counters_(kRanks, std::vector<std::uint64_t>(kLayers * kExperts)),
-        read_(kRanks, std::vector<double>(kLayers * kExperts)) {
+        counters_(kRanks, std::vector<std::uint64_t>(kCounters)),
+        read_(kRanks, std::vector<double>(kCounters)) {
     for (std::uint32_t topic = 0; topic < kTopics; ++topic) {
       topics_.push_back(Shares(1.1));
     }
@@ -96,7 +97,7 @@
     Request request;
     request.rank = static_cast<std::uint32_t>(random_.Below(kRanks));
     request.steps_left =
-        1 + static_cast<std::uint32_t>(random_.Below(2 * kStepsOfRequest));
+        1 + static_cast<std::uint32_t>(random_.Below(2ULL * kStepsOfRequest));
     request.shares = topics_[random_.Below(kTopics)];
     const std::vector<double> own = Shares(1.5);
     for (std::size_t i = 0; i < own.size(); ++i) {
