Ranks are armed on their own word after the hold, and silent ones not at all

What callers saw: all streams of a group stopped for the 4 s of one VM's freeze. Cause: from the word of a rank to the answer to the order that arms it lay the reports of all ranks, the exchange about the hold and the sending of 16 orders, 10 ms of each change in which a freeze left the rank's engine unknown; and a rank that was silent by then was ordered all the same, after which neither release nor clearing is safe.

Mend: once the step is held each rank is asked for its word, eight at a time, and ordered as it comes. One that says nothing for 80 ms is never ordered; the others are disarmed, and the old map stays. Ranks that this owner did not order are left out of that clearing: nothing that is on its way can arm them. A step that was released once is not held again, since a late release would let it begin. A change whose copies wait for a rank that is silent for a second is given up; it waited 4.3 s for a frozen one.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -29,12 +29,18 @@
 void StepSwitch::Enter(SwitchPhase phase, TimePoint now) {
   phase_ = phase;
   entered_ = now;
+  if (phase == SwitchPhase::kReleasing) {
+    released_step_ = std::max(released_step_, step_);
+  }
   for (auto& [index, rank] : ranks_) {
+    // What another owner may have ordered is not known here.
+    rank.may_be_armed = rank.may_be_armed || phase == SwitchPhase::kObserving;
     rank.is_done = false;
     rank.is_pending = false;
     rank.is_copying = false;
     rank.send_next = now;
     rank.ask_next = now;
+    rank.turn_at.reset();
     rank.to_disarm.reset();
   }
 }
@@ -133,6 +139,7 @@
   version_ = MapVersion(0);
   target_.reset();
   seen_step_ = StepNumber(0);
+  released_step_ = StepNumber(0);
   checked_at_ = TimePoint{};
   trusted_from_ = taken_over_;
   Enter(SwitchPhase::kObserving, now);
@@ -164,6 +171,9 @@
   late_holds_ = 0;
   are_all_armed_ = false;
   copies_ = copies;
+  for (auto& [index, rank] : ranks_) {
+    rank.may_be_armed = false;
+  }
   Enter(SwitchPhase::kPreparing, now);
 }
 
@@ -221,20 +231,43 @@
   }
 }
 
-// Leaves every rank with a newer version prepared and none armed.
+// Leaves every rank with a newer version prepared and none armed, but for those
+// that were never ordered to be armed for this change: nothing that is on its
+// way can arm them, and they may be silent.
 void StepSwitch::BeginClearing(TimePoint now) {
+  const bool is_own = phase_ == SwitchPhase::kArming;
+  const MapVersion own = target_version_;
   target_ = map_;
   target_version_ = next_version_;
   next_version_ = next_version_.Next();
   are_all_armed_ = false;
   Enter(SwitchPhase::kClearing, now);
   for (auto& [index, rank] : ranks_) {
+    rank.is_done = !rank.may_be_armed;
     if (rank.report.has_value() && rank.report->armed.has_value()) {
       rank.to_disarm = rank.report->armed->version;
+    } else if (is_own) {
+      // Its last report is from before the order.
+      rank.to_disarm = own;
     }
   }
 }
 
+bool StepSwitch::IsSomeoneUnarmedSilent(TimePoint now) const {
+  return std::any_of(ranks_.begin(), ranks_.end(), [&](const auto& item) {
+    const Rank& rank = item.second;
+    return !rank.may_be_armed && rank.turn_at.has_value() &&
+           now - *rank.turn_at > options_.word_timeout;
+  });
+}
+
+bool StepSwitch::IsCopyingSilent(TimePoint now) const {
+  return std::any_of(ranks_.begin(), ranks_.end(), [&](const auto& item) {
+    const Rank& rank = item.second;
+    return !rank.is_done && now - rank.heard_at > options_.copy_silence;
+  });
+}
+
 void StepSwitch::ChooseStep(TimePoint now) {
   // The step that was seen last began at `seen_at_` or before. Refused holds
   // tell that the group was further than thought.
@@ -248,6 +281,7 @@
   const double steps =
       std::ceil(std::max(ahead, 1.0)) * static_cast<double>(1U << late_holds_);
   step_ = StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
+  step_ = std::max(step_, released_step_.Next());
 }
 
 void StepSwitch::NoteArming(Duration took) {
@@ -327,6 +361,8 @@
         Enter(SwitchPhase::kConfirming, now);
       } else if (now - entered_ > options_.prepare_timeout) {
         GiveUp("not all ranks prepared in time", now);
+      } else if (IsCopyingSilent(now)) {
+        GiveUp("a rank is silent while it copies", now);
       }
       return;
     case SwitchPhase::kConfirming:
@@ -348,6 +384,9 @@
         NoteArming(now - entered_);
         are_all_armed_ = true;
         Enter(SwitchPhase::kReleasing, now);
+      } else if (IsSomeoneUnarmedSilent(now)) {
+        why_ = "a rank is silent before it is armed";
+        BeginClearing(now);
       }
       return;
     case SwitchPhase::kClearing:
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -21,9 +21,16 @@
 //
 // What else can go wrong: a rank that can't be reached while a step is held
 // stops the whole group, and since nobody can know whether it is armed, neither
-// a release nor clearing is safe until it answers. Copies take longer than all
-// the rest, so a rank that copied little may be gone long before the last one
-// is done. Hence every rank is heard anew right before the hold.
+// a release nor clearing is safe until it answers. It shows as a group that is
+// `arming` for as long as the VM beside one rank is frozen. Copies take longer
+// than all the rest, so a rank that copied little may be gone long before the
+// last one is done; hence every rank is heard anew right before the hold. The
+// exchange about the hold and the words of the others take 10 ms more; hence a
+// rank is armed on its own word after the hold, few at a time, and one that is
+// silent is not armed at all: the others are disarmed and the old map stays.
+// What is left is the doubt between that word and the answer to the order, one
+// and a half round trips, which no owner can rule out: an engine that took the
+// order and one that did not look the same while their VM is frozen.
 //
 // Once the step has begun at one rank it has begun at all, and those that were
 // armed have switched; late orders to hold it or to arm for it are void. So one
@@ -75,6 +82,22 @@
   double arming_memory = 0.7;
   // A preparation that takes longer is given up; nothing is armed yet.
   Duration prepare_timeout = Seconds(20);
+  // Ranks that are asked for their word and armed at a time. The more, the
+  // longer each waits for the others between its word and the answer; the
+  // fewer, the longer the whole takes, in which several VMs that freeze
+  // together may be found on both sides of it. With 4 of 16 arming took 24 to
+  // 31 ms, with 8 or all of them 21 ms, of which 12 are one slow rank's.
+  std::uint32_t armed_at_once = 8;
+  // From the question to the answer to the order, usually: a rank that takes
+  // longer does not keep the next one waiting. Measured: 3 to 6 ms.
+  Duration arming_turn = Milliseconds(6);
+  // A rank that has said nothing for this long since it was asked is not armed.
+  // Twice the time after which it is asked again: one word may get lost.
+  Duration word_timeout = Milliseconds(80);
+  // A rank that is silent for this long while copies are made: the change is
+  // given up, for the demand that it was made for does not last. Four reports
+  // of the calm.
+  Duration copy_silence = Seconds(1);
   // Once all have copied, every rank has to be heard anew within this time;
   // otherwise the change is given up. Several times what a round of reports
   // takes: 10 to 30 ms measured with 16 and with 72 ranks.
@@ -149,10 +172,16 @@
     // An answer proved the state that the phase is after.
     bool is_done = false;
     bool is_pending = false;
+    // An order to arm it may have reached it, or may yet. False only of ranks
+    // that this owner has not ordered so since it began the present change,
+    // whose version nobody else gives.
+    bool may_be_armed = true;
     // The order to copy was taken; its end is still to be reported.
     bool is_copying = false;
     TimePoint send_next;
     TimePoint ask_next;
+    // While arming: when it was first asked for its word.
+    std::optional<TimePoint> turn_at;
     // While clearing: what has to be disarmed before the rank can prepare.
     std::optional<MapVersion> to_disarm;
   };
@@ -169,7 +198,12 @@
   void Settle(TimePoint now);
   bool HasBegunAsArmed() const;
   void EndChange(TimePoint now);
-  bool IsAskedNow(RankIndex index, const Rank& rank) const;
+  bool IsAskedNow(RankIndex index, const Rank& rank, TimePoint now) const;
+  // Whether it has said something since the phase was entered.
+  bool HasWord(const Rank& rank) const { return rank.heard_at > entered_; }
+  bool MayTakeArmingTurn(const Rank& rank, TimePoint now) const;
+  bool IsSomeoneUnarmedSilent(TimePoint now) const;
+  bool IsCopyingSilent(TimePoint now) const;
   void BeginClearing(TimePoint now);
   void GiveUp(std::string why, TimePoint now);
   void ChooseStep(TimePoint now);
@@ -192,7 +226,10 @@
   MapPointer map_;
   MapVersion target_version_;
   MapPointer target_;
-  StepNumber step_;      // at which the target takes effect
+  StepNumber step_;  // at which the target takes effect
+  // No step up to this one is held again: a release of it may still be carried
+  // out late, and would let a step begin for which ranks are being armed.
+  StepNumber released_step_;
   RankIndex holder_{0};  // where that step is held
   Duration copies_{};    // expected of the change
   std::uint32_t late_holds_ = 0;
--- a/src/libs/groups/step_switch_orders.cc
+++ b/src/libs/groups/step_switch_orders.cc
@@ -55,7 +55,9 @@
       }
       return PrepareMap{target_version_, target_};
     case SwitchPhase::kArming:
-      return ArmMap{target_version_, step_};
+      return HasWord(rank)
+                 ? std::optional<EngineOrder>(ArmMap{target_version_, step_})
+                 : std::nullopt;
     case SwitchPhase::kHolding:
       return index == holder_ ? std::optional<EngineOrder>(HoldStep{step_})
                               : std::nullopt;
@@ -76,6 +78,8 @@
     }
     if (auto order = OrderFor(index, rank)) {
       rank.is_pending = true;
+      rank.may_be_armed =
+          rank.may_be_armed || std::holds_alternative<ArmMap>(*order);
       orders.push_back({index, epoch_, std::move(*order)});
     }
   }
@@ -83,20 +87,23 @@
 }
 
 // Whether a report of the rank is what the phase waits for.
-bool StepSwitch::IsAskedNow(RankIndex index, const Rank& rank) const {
+bool StepSwitch::IsAskedNow(RankIndex index,
+                            const Rank& rank,
+                            TimePoint now) const {
   // A few, so that a silent one does not keep the change from ending.
   constexpr std::uint32_t kToldByRanks = 3;
   switch (phase_) {
     case SwitchPhase::kPreparing:
       return rank.is_copying && !rank.is_done;
     case SwitchPhase::kConfirming:
-      return rank.heard_at <= entered_;
+      return !HasWord(rank);
+    case SwitchPhase::kArming:
+      return !HasWord(rank) && MayTakeArmingTurn(rank, now);
     case SwitchPhase::kSettling:
       return are_all_armed_ && index.value() < kToldByRanks;
     case SwitchPhase::kObserving:
     case SwitchPhase::kIdle:
     case SwitchPhase::kHolding:
-    case SwitchPhase::kArming:
     case SwitchPhase::kReleasing:
     case SwitchPhase::kClearing:
       return false;
@@ -104,6 +111,20 @@
   return false;
 }
 
+// Few at a time, so that a rank's word is followed by its order at once.
+bool StepSwitch::MayTakeArmingTurn(const Rank& rank, TimePoint now) const {
+  if (rank.turn_at.has_value()) {
+    return true;
+  }
+  const auto taken =
+      std::count_if(ranks_.begin(), ranks_.end(), [&](const auto& item) {
+        const Rank& other = item.second;
+        return !other.is_done && other.turn_at.has_value() &&
+               now - *other.turn_at < options_.arming_turn;
+      });
+  return taken < options_.armed_at_once;
+}
+
 bool StepSwitch::NeedsAllReports(TimePoint now) const {
   // A step that was not released as it was held, or an idle group, which begins
   // none. Steps under way last 50 to 300 ms.
@@ -119,10 +140,13 @@
                                 : options_.ask_again;
   std::vector<RankIndex> asked;
   for (auto& [index, rank] : ranks_) {
-    if (now < rank.ask_next || !IsAskedNow(index, rank)) {
+    if (now < rank.ask_next || !IsAskedNow(index, rank, now)) {
       continue;
     }
     rank.ask_next = now + interval;
+    if (phase_ == SwitchPhase::kArming && !rank.turn_at.has_value()) {
+      rank.turn_at = now;
+    }
     asked.push_back(index);
   }
   return asked;
