Of two sends that hold a vote each, the later claimant waits

What callers saw: two sends of one order at one moment, both told "in progress" (unknown), and the order did not run.

Cause: with two holders each send has one vote; both take each other's claim over at the same time, find a newer round than they knew of, and begin anew until both give up (doubled_send_test).

Mend: of two sends that look each other up, the one with the greater claimant waits 150 ms longer before it forbids the other's attempt, so that the other's takeover is through by then. Only times change; what may be taken over, and on whose proof, does not, so at most once is untouched.

Ruled out: giving the claim up at once where it is lost (the other may be of a dead entry). Not looked up: a claim without an attempt, which is taken over at once. Conclusion: mended on the pure machines; with processes not played yet.

--- a/src/libs/attempts/attempt_ids.h
+++ b/src/libs/attempts/attempt_ids.h
@@ -43,7 +43,7 @@
   Incarnation incarnation;
   ClaimNumber number;
 
-  bool operator==(const Claimant&) const = default;
+  auto operator<=>(const Claimant&) const = default;
 };
 
 // Permission to start attempts, issued by the agent itself. It proves that the
--- a/src/libs/attempts/request_machine.h
+++ b/src/libs/attempts/request_machine.h
@@ -56,6 +56,12 @@
   // Questions about an attempt: how many, and the time between them.
   std::size_t max_settles = 4;
   Duration settle_interval = Milliseconds(300);
+  // Two sends of one key that came at one moment may each hold a vote of the
+  // other's, and each take the other's claim over at the same time, again and
+  // again, until both give up and nobody is served. The one with the greater
+  // claimant waits this much longer. Longer than a claim takes, 2 ways of 30 ms
+  // at most between failure domains.
+  Duration yield_time = Milliseconds(150);
   // How often another send of the key is looked up.
   std::size_t max_lookups = 3;
   // How often a stream may be taken up again.
--- a/src/libs/attempts/request_machine_claims.cc
+++ b/src/libs/attempts/request_machine_claims.cc
@@ -68,6 +68,9 @@
   state_ = State::kLookingUp;
   settles_ = 0;
   AskAgent(false, now);
+  if (spec_.claimant > held.claimant) {
+    timer_ = *timer_ + options_.yield_time;
+  }
 }
 
 void RequestMachine::OnLookedUp(const SettleState& state, TimePoint now) {
