--- a/src/libs/groups/standstill.h
+++ b/src/libs/groups/standstill.h
@@ -25,9 +25,9 @@
   // A group with work that has begun no step for this long, or for so many
   // times as long as its steps took lately, whichever is longer, stands still.
   // Steps take 40 to 170 ms, and 300 with a slow rank; a change of map that
-  // meets a lost order holds one for 0.1 to 0.2 s, and 0.4 s where 72 ranks have
-  // a node with 0.15 of a core. Chosen above those: each piece of news makes the
-  // node answer all gateways at once.
+  // meets a lost order holds one for 0.1 to 0.2 s, and 0.4 s where 72 ranks
+  // have a node with 0.15 of a core. Chosen above those: each piece of news
+  // makes the node answer all gateways at once.
   Duration least = Milliseconds(500);
   double usual_times = 8.0;
   // Weight of the newest step in the usual time.
