--- a/src/libs/traffic/group_outlook.cc
+++ b/src/libs/traffic/group_outlook.cc
@@ -50,51 +50,19 @@
   }
 }
 
-void GroupOutlook::SetStanding(const std::string& source,
-                               const std::set<GroupId>& groups,
-                               TimePoint now) {
-  auto& known = standing_[source];
-  std::erase_if(known,
-                [&](const auto& item) { return !groups.contains(item.first); });
-  for (const GroupId& group : groups) {
-    known.try_emplace(group, Stop{now, now}).first->second.told_at = now;
-  }
-}
-
-void GroupOutlook::NoteHeard(const GroupId& group, TimePoint now) {
-  heard_at_[group] = now;
-}
-
-bool GroupOutlook::IsStanding(const GroupId& group, TimePoint now) const {
-  const auto heard = heard_at_.find(group);
-  return std::any_of(standing_.begin(), standing_.end(), [&](const auto& item) {
-    const auto found = item.second.find(group);
-    return found != item.second.end() &&
-           now - found->second.told_at <= options_.standing_memory &&
-           (heard == heard_at_.end() || heard->second <= found->second.since);
-  });
-}
-
 Outlook GroupOutlook::OutlookOf(const ServiceId& service, TimePoint now) const {
   const auto found = groups_.find(service);
   if (found == groups_.end()) {
     return Outlook::kOpen;
   }
   const auto& groups = found->second;
-  bool is_any_standing = false;
-  for (const auto& [id, group] : groups) {
-    if (!group.is_open) {
-      continue;
-    }
-    if (!IsStanding(id, now)) {
-      return Outlook::kOpen;
-    }
-    is_any_standing = true;
-  }
-  if (now < forms_until(service)) {
-    return Outlook::kForming;
+  const bool any_open =
+      std::any_of(groups.begin(), groups.end(),
+                  [](const auto& item) { return item.second.is_open; });
+  if (any_open) {
+    return Outlook::kOpen;
   }
-  return is_any_standing ? Outlook::kStanding : Outlook::kBroken;
+  return now < forms_until(service) ? Outlook::kForming : Outlook::kBroken;
 }
 
 TimePoint GroupOutlook::forms_until(const ServiceId& service) const {
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -152,9 +152,7 @@
     cost += kRestingCost;
   }
   const double pace = PaceOf(target);
-  const auto& group = target.announcement.group;
   if (pace >= kMissingPace ||
-      (group.has_value() && outlook_.IsStanding(group->group, now)) ||
       hearing_.IsSuspect(target.announcement.target, now)) {
     cost += kSuspectCost;
   }
@@ -281,14 +279,6 @@
                                       options_.longest_rest);
 }
 
-void TargetPool::OnHeard(const TargetId& id, TimePoint now) {
-  hearing_.OnHeard(id, now);
-  const auto found = targets_.find(id);
-  if (found != targets_.end() && found->second.announcement.group.has_value()) {
-    outlook_.NoteHeard(found->second.announcement.group->group, now);
-  }
-}
-
 void TargetPool::OnFirstByte(const TargetId& id,
                              Duration waited,
                              TimePoint now) {
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -91,13 +91,6 @@
   void SetSlow(const std::string& source,
                std::map<std::string, double> by_address);
 
-  // The groups that `source` knows to stand still.
-  void SetStanding(const std::string& source,
-                   const std::set<GroupId>& groups,
-                   TimePoint now) {
-    outlook_.SetStanding(source, groups, now);
-  }
-
   // A target of `service` for one more request, not one of `tried`. It counts
   // as sent there from now on: each Choice is followed by one OnEnded().
   ChoiceOutcome Choose(const ServiceId& service,
@@ -112,7 +105,9 @@
 
   // The first byte of a good answer came, so long after it was asked for.
   void OnFirstByte(const TargetId& target, Duration waited, TimePoint now);
-  void OnHeard(const TargetId& target, TimePoint now);
+  void OnHeard(const TargetId& target, TimePoint now) {
+    hearing_.OnHeard(target, now);
+  }
   // Whether its requests had better go on elsewhere: it is slow, and another
   // target has a slot free.
   bool ShouldBeLeft(const TargetId& target,
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -30,17 +30,17 @@
   for (const auto& [address, pace] : answer.slow_targets) {
     slow[address] = pace;
   }
-  json::array standing;
-  for (const GroupId& group : answer.standing_groups) {
-    standing.emplace_back(group.value());
-  }
-  json::object object{
-      {"boot", answer.boot},         {"revision", answer.revision},
-      {"version", answer.version},   {"bytes", answer.bytes},
-      {"leader", answer.is_leader},  {"slow_revision", answer.slow_revision},
-      {"slow", std::move(slow)},     {"standing", std::move(standing)},
-      {"whole", answer.is_whole},    {"targets", answer.targets.value},
-      {"gateways", answer.gateways}, {"members", std::move(members)}};
+  json::object object{{"boot", answer.boot},
+                      {"revision", answer.revision},
+                      {"version", answer.version},
+                      {"bytes", answer.bytes},
+                      {"leader", answer.is_leader},
+                      {"slow_revision", answer.slow_revision},
+                      {"slow", std::move(slow)},
+                      {"whole", answer.is_whole},
+                      {"targets", answer.targets.value},
+                      {"gateways", answer.gateways},
+                      {"members", std::move(members)}};
   if (answer.configuration.has_value()) {
     object["configuration"] = answer.configuration->value;
   }
@@ -94,10 +94,9 @@
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
-  const json::array* standing = List(*object, "standing");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
       !slow_revision || !gateways || !targets || members == nullptr ||
-      slow == nullptr || !slow->is_object() || standing == nullptr) {
+      slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
   WatchAnswer answer;
@@ -120,12 +119,6 @@
     answer.slow_targets[std::string(item.key())] = *pace;
   }
   answer.targets = packing::PackedText{std::move(*targets)};
-  for (const json::value& item : *standing) {
-    if (!item.is_string()) {
-      return std::nullopt;
-    }
-    answer.standing_groups.emplace(std::string(item.as_string()));
-  }
   for (const json::value& item : *members) {
     if (!item.is_string()) {
       return std::nullopt;
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -7,11 +7,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "libs/base/ids.h"
 #include "libs/base/time.h"
 #include "libs/packing/packed_text.h"
 #include "libs/traffic/target_book.h"
@@ -32,8 +30,7 @@
   std::uint64_t revision = 0;  // of the targets
   std::uint64_t version = 0;   // of the configuration
   bool was_leader = false;
-  // Of the slow targets and the standing groups.
-  std::uint64_t slow_revision = 0;
+  std::uint64_t slow_revision = 0;  // of the slow targets
   // Whether a newer configuration is wanted with the answer, or only its
   // number: all control nodes have the same one, which may be large.
   bool wants_configuration = true;
@@ -60,8 +57,6 @@
   // How many times as long as healthy ones targets take, by address; those that
   // the leader has found slow.
   std::map<std::string, double> slow_targets;
-  // Those that the leader knows to have work and to begin no steps.
-  std::set<GroupId> standing_groups;
   // Only where it is newer than the gateway's, and wanted.
   std::optional<packing::PackedText> configuration;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -332,15 +332,6 @@
   changed_.NotifyAll();
 }
 
-void ControlNode::SetStandingGroups(std::set<GroupId> groups) {
-  if (groups == standing_groups_) {
-    return;
-  }
-  standing_groups_ = std::move(groups);
-  ++slow_revision_;
-  changed_.NotifyAll();
-}
-
 std::vector<net::Endpoint> ControlNode::FindNodes() const {
   std::vector<net::Endpoint> nodes = replica_.FindMembers();
   std::set<net::Endpoint> known(nodes.begin(), nodes.end());
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -71,11 +71,6 @@
   const std::map<std::string, double>& slow_targets() const {
     return slow_targets_;
   }
-  // The groups that this node, as the leader, knows to have work and to begin
-  // no steps.
-  void SetStandingGroups(std::set<GroupId> groups);
-  const std::set<GroupId>& standing_groups() const { return standing_groups_; }
-  // Of the slow targets and the standing groups.
   std::uint64_t slow_revision() const { return slow_revision_; }
 
   // All control nodes that are known: the log's members, and those that have
@@ -125,7 +120,6 @@
   config::NumberedConfiguration configuration_;
   traffic::TargetBook targets_;
   std::map<std::string, double> slow_targets_;
-  std::set<GroupId> standing_groups_;
   std::uint64_t slow_revision_ = 0;
   std::map<net::Endpoint, TimePoint> heard_nodes_;
   // Announcements that could not be read.
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -59,7 +59,6 @@
     const Tenure::Verdict verdict = tenure_.Note(leads, term);
     if (verdict == Tenure::Verdict::kRests) {
       node_.SetSlowTargets({});
-      node_.SetStandingGroups({});
       continue;
     }
     if (verdict == Tenure::Verdict::kBeginsAnew) {
@@ -73,19 +72,14 @@
       CollectRanks();
     }
     std::map<std::string, double> slow;
-    std::set<GroupId> standing;
     for (auto& [group, task] : tasks_) {
       if (is_due) {
         task->SetHelpers(Helpers());
       }
       task->Tick();
       task->AddSlow(slow);
-      if (task->is_standing()) {
-        standing.insert(group);
-      }
     }
     node_.SetSlowTargets(std::move(slow));
-    node_.SetStandingGroups(std::move(standing));
   }
 }
 
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -144,7 +144,6 @@
   const TimePoint now = SteadyNow();
   NoteLateness(now);
   NoteState(now);
-  NoteStandstill(now);
   if (now >= reports_due_) {
     reports_due_ = now + (switch_.NeedsAllReports(now) ? busy_interval()
                                                        : idle_interval());
@@ -209,29 +208,6 @@
   state_step_ = step;
 }
 
-// Names who is silent: where a step is held, the change waits for one of them.
-void GroupTask::NoteStandstill(TimePoint now) {
-  const bool is_standing = standstill_.IsStanding(now);
-  if (is_standing == is_standing_) {
-    return;
-  }
-  is_standing_ = is_standing;
-  constexpr Duration kSilent = Milliseconds(500);
-  std::string silent;
-  for (const auto& [rank, heard_at] : heard_at_) {
-    if (now - heard_at > kSilent) {
-      silent += (silent.empty() ? "" : ",") + std::to_string(rank.value());
-    }
-  }
-  log_.Info(is_standing ? "Group stands still." : "Group goes on.",
-            {{"group", group_.value()},
-             {"epoch", switch_.epoch().value()},
-             {"step", newest_step_.value()},
-             {"since_ms", (now - standstill_.since()).count() / 1000},
-             {"phase", NameOf(switch_.phase())},
-             {"silent_ranks", silent}});
-}
-
 // Sends what is due, and plans as soon as there is room for a change.
 void GroupTask::Pump() {
   const TimePoint now = SteadyNow();
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "libs/groups/standstill.h"
 #include "libs/groups/step_switch.h"
 #include "libs/net/endpoint.h"
 #include "libs/net/network_loop.h"
@@ -54,9 +53,6 @@
   // many times as long as a healthy one they take, and those that do not answer
   // (kMissingPace).
   void AddSlow(std::map<std::string, double>& by_address) const;
-  const GroupId& group() const { return group_; }
-  // Whether it has work and begins no steps.
-  bool is_standing() const { return is_standing_; }
 
  private:
   // From how many ranks picks are read at a time. Requests differ in what they
@@ -96,7 +92,6 @@
   // group_task.cc
   void NoteLateness(TimePoint now);
   void NoteState(TimePoint now);
-  void NoteStandstill(TimePoint now);
   void Plan(TimePoint now);
   void SendOrder(const groups::RankOrder& order);
   EngineCalls::Answer AskForHold(const net::Endpoint& engine,
@@ -124,8 +119,6 @@
   };
   std::map<RankIndex, RankLoad> loads_at_;
   groups::StepNumber newest_step_;
-  groups::Standstill standstill_{groups::StandstillOptions{}};
-  bool is_standing_ = false;
   // When the state was logged last, and the step of that time.
   TimePoint state_at_;
   std::uint64_t state_step_ = 0;
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -56,7 +56,6 @@
     heard_at_[rank] = SteadyNow();
     loads_at_[rank] = {report->running, report->waiting};
     newest_step_ = report->step;
-    standstill_.OnReport(rank, *report, answer.as_of);
     switch_.OnReport(rank, *report, answer.as_of, SteadyNow());
     Pump();
   });
@@ -85,7 +84,6 @@
             rank, {picks->counts, picks->step.value(), loads_at_[rank].running},
             SteadyNow());
         switch_.OnStep(picks->epoch, picks->step, answer.as_of);
-        standstill_.OnStep(picks->epoch, picks->step, answer.as_of);
         Pump();
       }
     });
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -52,7 +52,6 @@
   answer.is_leader = node_.replica().is_leader();
   answer.slow_revision = node_.slow_revision();
   answer.slow_targets = node_.slow_targets();
-  answer.standing_groups = node_.standing_groups();
   answer.is_whole = !knows_this_boot;
   // Half of what news wait for anyway: an asker that was told up to an older
   // revision asks again at once.
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -176,8 +176,6 @@
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole, targets,
                         now);
   state_.targets.SetSlow(node.endpoint.ToString(), answer.slow_targets);
-  state_.targets.SetStanding(node.endpoint.ToString(), answer.standing_groups,
-                             now);
   state_.news.NotifyAll();
   if (answer.is_leader && answer.version > 0) {
     has_heard_leader_ = true;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -88,10 +88,6 @@
       Finish("caller_left", "while the group was forming");
       return;
     }
-    if (ShouldComeBackLater()) {
-      Refuse(ComeBackLater(), "the group stands still");
-      return;
-    }
     const auto chosen = state_.targets.Choose(service_, tried_, SteadyNow());
     if (const auto* why = std::get_if<traffic::NoChoice>(&chosen)) {
       AnswerNoTarget(*why);
@@ -146,21 +142,6 @@
   return !caller_left_;
 }
 
-// The group stands still, nobody knows for how long, and a caller who is told
-// nothing leaves after two seconds: told at once, it comes back a third of its
-// time later. Callers come back once, so one that has used up part of its time
-// is let in to wait: refused again it would be lost. With those refused too,
-// 104 of 146 callers of two seconds of a stop of 4 s were.
-bool RelayCall::ShouldComeBackLater() const {
-  constexpr double kUnused = 0.9;
-  const Duration timeout = match_.route->timeout;
-  return sends_ == 0 &&
-         ToSeconds(head_.patience.value_or(timeout)) >=
-             kUnused * ToSeconds(timeout) &&
-         state_.targets.OutlookOf(service_, SteadyNow()) ==
-             traffic::Outlook::kStanding;
-}
-
 RelayStep RelayCall::StepAfter(const NotServed& failed) {
   traffic::RelayState relay;
   relay.may_repeat = match_.route->may_repeat();
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -48,7 +48,6 @@
   bool Admit();
   void Relay();
   bool AwaitGroup();
-  bool ShouldComeBackLater() const;
   traffic::RelayStep StepAfter(const NotServed& failed);
   SendOutcome SendTo(const traffic::Choice& choice);
   SendOutcome Send(const traffic::Choice& choice,
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -43,7 +43,6 @@
   answer.targets = PackTargets({MakeRecord()});
   answer.members = {"10.0.0.2:7000"};
   answer.slow_targets = {{"10.0.0.1:80", 2.5}};
-  answer.standing_groups = {GroupId("g-1"), GroupId("g-2")};
   answer.configuration = packing::PackedText{"{\"version\":7}"};
   return answer;
 }
@@ -88,7 +87,6 @@
   CHECK((*targets)[0].is_silent);
   CHECK(answered->members == MakeAnswer().members);
   CHECK(answered->slow_targets == MakeAnswer().slow_targets);
-  CHECK(answered->standing_groups == MakeAnswer().standing_groups);
   CHECK(answered->configuration == MakeAnswer().configuration);
 }
 
--- a/tests/auto/traffic/group_outlook_test.cc
+++ b/tests/auto/traffic/group_outlook_test.cc
@@ -93,56 +93,5 @@
   CHECK(outlook.OutlookOf(kService, At(1800)) == Outlook::kBroken);
 }
 
-const GroupId kGroup("g");
-
-// Symptom: callers of a group that stands still wait two seconds for nothing,
-// and the group is late for seconds after. Sequence: a step is held; the VM of
-// the rank that the change waits for is frozen; gateways go on sending. Cause:
-// only ranks that were lost counted as a group that does not work.
-TEST_CASE("a group that is told to stand still stands until it is heard") {
-  GroupOutlook outlook = OpenGroup();
-  outlook.NoteHeard(kGroup, At(900));
-  outlook.SetStanding("leader", {kGroup}, At(1000));
-  CHECK(outlook.OutlookOf(kService, At(1001)) == Outlook::kStanding);
-  outlook.SetStanding("leader", {kGroup}, At(2000));
-  CHECK(outlook.OutlookOf(kService, At(2001)) == Outlook::kStanding);
-  outlook.NoteHeard(kGroup, At(2100));
-  CHECK(outlook.OutlookOf(kService, At(2101)) == Outlook::kOpen);
-  // The same news again does not outweigh what was heard since.
-  outlook.SetStanding("leader", {kGroup}, At(2200));
-  CHECK(outlook.OutlookOf(kService, At(2201)) == Outlook::kOpen);
-  // It goes on, and stands still anew.
-  outlook.SetStanding("leader", {}, At(2300));
-  outlook.SetStanding("leader", {kGroup}, At(4000));
-  CHECK(outlook.OutlookOf(kService, At(4001)) == Outlook::kStanding);
-}
-
-TEST_CASE("what a node told of a standing group ends with the node") {
-  GroupOutlook outlook = OpenGroup();
-  outlook.SetStanding("leader", {kGroup}, At(1000));
-  CHECK(outlook.OutlookOf(kService, At(2500)) == Outlook::kStanding);
-  CHECK(outlook.OutlookOf(kService, At(2700)) == Outlook::kOpen);
-  outlook.SetStanding("leader", {kGroup}, At(3000));
-  outlook.SetStanding("leader", {}, At(3100));
-  CHECK(outlook.OutlookOf(kService, At(3101)) == Outlook::kOpen);
-}
-
-TEST_CASE("another group of the service serves while one stands still") {
-  GroupOutlook outlook = OpenGroup();
-  outlook.Note(Rank(0, 1, true, "h"), true, At(0));
-  outlook.SetStanding("leader", {kGroup}, At(1000));
-  CHECK(outlook.IsStanding(kGroup, At(1001)));
-  CHECK(outlook.OutlookOf(kService, At(1001)) == Outlook::kOpen);
-  outlook.SetStanding("leader", {kGroup, GroupId("h")}, At(1100));
-  CHECK(outlook.OutlookOf(kService, At(1101)) == Outlook::kStanding);
-}
-
-TEST_CASE("a group that breaks while it stands is broken") {
-  GroupOutlook outlook = OpenGroup();
-  outlook.SetStanding("leader", {kGroup}, At(1000));
-  outlook.Note(Rank(2, 1, false), false, At(1500));
-  CHECK(outlook.OutlookOf(kService, At(1501)) == Outlook::kBroken);
-}
-
 }  // namespace
 }  // namespace bilberryspool::traffic
