--- a/tests/auto/net/http_test.cc
+++ b/tests/auto/net/http_test.cc
@@ -105,6 +105,7 @@
   std::vector<boost::asio::ip::tcp::socket> MakeFillers() {
     constexpr int kMoreThanTheQueue = 4;
     std::vector<boost::asio::ip::tcp::socket> fillers;
+    fillers.reserve(kMoreThanTheQueue);
     for (int i = 0; i < kMoreThanTheQueue; ++i) {
       fillers.emplace_back(io_);
     }
