--- a/src/libs/groups/round_codec.cc
+++ b/src/libs/groups/round_codec.cc
@@ -157,6 +157,7 @@
 
 std::vector<WireRank> ToWire(const std::vector<RankAddress>& ranks) {
   std::vector<WireRank> wire;
+  wire.reserve(ranks.size());
   for (const RankAddress& rank : ranks) {
     wire.push_back({rank.rank.value(), rank.engine});
   }
@@ -165,6 +166,7 @@
 
 std::vector<RankAddress> FromWire(std::vector<WireRank> wire) {
   std::vector<RankAddress> ranks;
+  ranks.reserve(wire.size());
   for (WireRank& rank : wire) {
     ranks.push_back({RankIndex(rank.rank), std::move(rank.engine)});
   }
--- a/src/libs/groups/silent_ranks.cc
+++ b/src/libs/groups/silent_ranks.cc
@@ -31,6 +31,10 @@
   }
 }
 
+bool SilentRanks::WasLateSince(TimePoint since, TimePoint now) const {
+  return late_at_ >= since || now - ticked_at_ > kLate;
+}
+
 bool SilentRanks::IsHeard(RankIndex rank, Duration age, TimePoint now) const {
   const auto found = heard_at_.find(rank);
   return found != heard_at_.end() && now - found->second <= age;
--- a/src/libs/groups/silent_ranks.h
+++ b/src/libs/groups/silent_ranks.h
@@ -26,6 +26,8 @@
   // To be called often; takes notice of its own lateness.
   void Tick(TimePoint now);
 
+  // Whether the listener was late since then, or is now.
+  bool WasLateSince(TimePoint since, TimePoint now) const;
   // Whether a rank was heard within `age`.
   bool IsHeard(RankIndex rank, Duration age, TimePoint now) const;
   // Ranks that were heard once and are silent since; none where that is most of
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -402,8 +402,9 @@
     wide.ranks.push_back({rank, addresses_.at(rank).ToString()});
   }
   Spawn([this, part, order, wide = std::move(wide)] {
+    const TimePoint asked = SteadyNow();
     const auto answer = AnswerOf(part, wide);
-    if (!answer.has_value()) {
+    if (!answer.has_value() && !silence_.WasLateSince(asked, SteadyNow())) {
       shares_.Rest(*part.reader, SteadyNow());
     }
     groups::RankOrder one = order;
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -22,8 +22,10 @@
 // Ranks that the leader asks itself a second: what a control node of 0.15 of a
 // core can ask and read beside its other work.
 constexpr double kAsksPerSecond = 200.0;
+// Of them at a time, so that they don't hold up all else.
+constexpr std::size_t kAsksAtOnce = 8;
 // For a reader's answer, beside the time that it may take for its ranks.
-constexpr Duration kRoundWay = Milliseconds(150);
+constexpr Duration kRoundWay = Milliseconds(300);
 constexpr EngineCalls::Patience kReportPatience{Milliseconds(300)};
 // The map of a group that has just formed: experts in turn.
 std::shared_ptr<const placement::ExpertMap> FirstMap(
@@ -80,7 +82,8 @@
                                                    : "this one"},
                  {"ranks", round.ranks.size()},
                  {"after_ms", (SteadyNow() - asked) / Milliseconds(1)}});
-      shares_.OnFailure(round, SteadyNow());
+      const TimePoint now = SteadyNow();
+      shares_.OnFailure(round, silence_.WasLateSince(asked, now), now);
       return;
     }
     shares_.OnAnswer(round, answer->domain, SteadyNow());
@@ -109,7 +112,7 @@
   }
   std::vector<RankIndex> silent;
   for (const auto& [rank, endpoint] : addresses_) {
-    if (!silence_.IsHeard(rank, kSilent, now) &&
+    if (silent.size() < kAsksAtOnce && !silence_.IsHeard(rank, kSilent, now) &&
         now - asked_at_[rank] > kSilent) {
       silent.push_back(rank);
     }
--- a/src/plugins/control_node/rank_rounds.cc
+++ b/src/plugins/control_node/rank_rounds.cc
@@ -85,29 +85,42 @@
   });
 }
 
-void RankRounds::ReadRank(const std::shared_ptr<Round>& round,
-                          const GroupId& group,
-                          const groups::RankAddress& rank) {
+bool RankRounds::BeginReading(const GroupId& group, RankIndex rank) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return false;
+  }
+  Mark& mark = found->second.marks[rank];
+  return !std::exchange(mark.is_asked, true);
+}
+
+std::optional<groups::RankWord> RankRounds::ReadRank(
+    const GroupId& group,
+    const groups::RankAddress& rank,
+    TimePoint begun) {
   const auto endpoint = net::ParseEndpoint(rank.engine);
-  const auto known = groups_.find(group);
-  if (endpoint.has_value() && known != groups_.end()) {
-    const EngineCalls::Answer answer = calls_.AskSidecar(
-        *endpoint, ReadingRequest(known->second.marks[rank.rank]),
-        kReadingPatience);
-    const auto reading = groups::DecodeReading(answer.body);
-    // It may have been forgotten meanwhile.
-    const auto found = groups_.find(group);
-    if (reading.has_value() && found != groups_.end()) {
-      found->second.marks[rank.rank] = reading->mark;
-      if (reading->growth.has_value()) {
-        found->second.sums.Add(*reading->growth);
-      }
-      round->words.push_back(
-          {rank.rank, answer.as_of - round->begun, reading->report});
-    }
+  if (!endpoint.has_value() || !BeginReading(group, rank.rank)) {
+    return std::nullopt;
   }
-  --round->missing;
-  round->changed.NotifyAll();
+  const EngineCalls::Answer answer = calls_.AskSidecar(
+      *endpoint, ReadingRequest(groups_.at(group).marks.at(rank.rank).last),
+      kReadingPatience);
+  // It may have been forgotten meanwhile.
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return std::nullopt;
+  }
+  Mark& mark = found->second.marks[rank.rank];
+  mark.is_asked = false;
+  const auto reading = groups::DecodeReading(answer.body);
+  if (!reading.has_value()) {
+    return std::nullopt;
+  }
+  mark.last = reading->mark;
+  if (reading->growth.has_value()) {
+    found->second.sums.Add(*reading->growth);
+  }
+  return groups::RankWord{rank.rank, answer.as_of - begun, reading->report};
 }
 
 groups::RoundAnswer RankRounds::Read(const groups::RoundQuestion& question) {
@@ -119,7 +132,11 @@
   round->missing = question.ranks.size();
   for (const groups::RankAddress& rank : question.ranks) {
     loop_.Spawn([this, round, group = question.group, rank] {
-      ReadRank(round, group, rank);
+      if (auto word = ReadRank(group, rank, round->begun)) {
+        round->words.push_back(*std::move(word));
+      }
+      --round->missing;
+      round->changed.NotifyAll();
     });
   }
   while (round->missing > 0 &&
--- a/src/plugins/control_node/rank_rounds.h
+++ b/src/plugins/control_node/rank_rounds.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "libs/groups/rank_round.h"
@@ -35,18 +36,26 @@
   static constexpr Duration kRoundPatience = Milliseconds(100);
 
  private:
+  struct Mark {
+    placement::ReadingMark last;
+    // A sidecar gives growth from its last reading alone, so of two questions
+    // under way the second would get none, and its mark void the first's.
+    bool is_asked = false;
+  };
   struct Group {
     placement::PickSums sums;
-    std::map<RankIndex, placement::ReadingMark> marks;
+    std::map<RankIndex, Mark> marks;
     TimePoint asked_at;
   };
   // The readings of one question.
   struct Round;
 
+  // False where the rank has another question under way.
+  bool BeginReading(const GroupId& group, RankIndex rank);
+  std::optional<groups::RankWord> ReadRank(const GroupId& group,
+                                           const groups::RankAddress& rank,
+                                           TimePoint begun);
   Group& GroupOf(const groups::RoundQuestion& question, TimePoint now);
-  void ReadRank(const std::shared_ptr<Round>& round,
-                const GroupId& group,
-                const groups::RankAddress& rank);
   void Forget(TimePoint now);
 
   net::NetworkLoop& loop_;
--- a/src/plugins/control_node/round_shares.cc
+++ b/src/plugins/control_node/round_shares.cc
@@ -15,6 +15,10 @@
 // the leader, which has more to do.
 constexpr Duration kTimePerRank = Microseconds(2500);
 constexpr Duration kLeaderTimePerRank = Microseconds(4000);
+// Ranks that the leader reads at a time. All at once would hold up all else
+// that it does, and then it would take whoever answers it for lost.
+constexpr std::size_t kLeaderPortion = 24;
+constexpr std::uint32_t kMostFailures = 3;
 // A node that did not answer is tried again after this.
 constexpr Duration kRest = Seconds(1);
 
@@ -49,15 +53,16 @@
     usable.push_back(&readers_.at(std::nullopt));
   }
   std::vector<RankIndex> left;
-  for (const auto& [rank, domain] : ranks_) {
+  for (const auto& item : ranks_) {
+    const FailureDomain& domain = item.second;
     const auto near = std::find_if(
         usable.begin(), usable.end(),
-        [&](const Reader* item) { return item->domain == domain; });
+        [&](const Reader* reader) { return reader->domain == domain; });
     if (near == usable.end()) {
-      left.push_back(rank);
+      left.push_back(item.first);
       continue;
     }
-    (*near)->ranks.push_back(rank);
+    (*near)->ranks.push_back(item.first);
   }
   for (const RankIndex rank : left) {
     const auto least =
@@ -78,14 +83,27 @@
     }
     const Duration each =
         endpoint.has_value() ? kTimePerRank : kLeaderTimePerRank;
-    const auto count = static_cast<Duration::rep>(reader.ranks.size());
+    Round round{endpoint,
+                endpoint.has_value() ? reader.ranks : PortionOf(reader.ranks)};
+    const auto count = static_cast<Duration::rep>(round.ranks.size());
     reader.due = now + std::max(kShortestInterval, each * count);
     reader.is_asked = true;
-    rounds.push_back({endpoint, reader.ranks});
+    rounds.push_back(std::move(round));
   }
   return rounds;
 }
 
+// Of the leader's ranks, in turn.
+std::vector<RankIndex> RoundShares::PortionOf(
+    const std::vector<RankIndex>& ranks) {
+  std::vector<RankIndex> portion;
+  const std::size_t count = std::min(kLeaderPortion, ranks.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    portion.push_back(ranks[portion_++ % ranks.size()]);
+  }
+  return portion;
+}
+
 std::vector<Round> RoundShares::Split(const std::vector<RankIndex>& ranks,
                                       TimePoint now) {
   ShareOut(now);
@@ -119,12 +137,18 @@
   const auto found = readers_.find(round.reader);
   if (found != readers_.end()) {
     found->second.domain = domain;
+    found->second.failures = 0;
   }
 }
 
-void RoundShares::OnFailure(const Round& round, TimePoint now) {
+void RoundShares::OnFailure(const Round& round, bool was_late, TimePoint now) {
   End(round, now);
-  if (round.reader.has_value()) {
+  const auto found = readers_.find(round.reader);
+  if (found == readers_.end() || !round.reader.has_value()) {
+    return;
+  }
+  const bool is_lost = ++found->second.failures >= kMostFailures;
+  if (is_lost || !was_late) {
     Rest(*round.reader, now);
   }
 }
@@ -133,6 +157,7 @@
   const auto found = readers_.find(reader);
   if (found != readers_.end()) {
     found->second.rests_until = now + kRest;
+    found->second.failures = 0;
   }
 }
 
--- a/src/plugins/control_node/round_shares.h
+++ b/src/plugins/control_node/round_shares.h
@@ -6,13 +6,16 @@
 // other control nodes that answer, those of a node's own failure domain first.
 // A node that does not answer is left out for a while, and its ranks go to the
 // others with the next round; a rank has one reader at a time, so that nothing
-// is counted twice. Where there is no other node the leader reads all, slowly.
+// is counted twice. Where there is no other node the leader reads all
+// by turns, a few at a time.
 //
 // Pure: events and `now` in, rounds out.
 
 #ifndef PLUGINS_CONTROL_NODE_ROUND_SHARES_H_
 #define PLUGINS_CONTROL_NODE_ROUND_SHARES_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -39,7 +42,9 @@
   // Those ranks by their readers, under the same shares.
   std::vector<Round> Split(const std::vector<RankIndex>& ranks, TimePoint now);
   void OnAnswer(const Round& round, const FailureDomain& domain, TimePoint now);
-  void OnFailure(const Round& round, TimePoint now);
+  // `was_late`: the leader was late itself meanwhile. What it has not read may
+  // have come, so the reader is only left out if that happens again and again.
+  void OnFailure(const Round& round, bool was_late, TimePoint now);
   // A reader left a call of another kind unanswered.
   void Rest(const net::Endpoint& reader, TimePoint now);
   // What was due in a while is due now.
@@ -49,6 +54,8 @@
   struct Reader {
     std::optional<FailureDomain> domain;  // told with its first answer
     bool is_asked = false;
+    // Rounds without an answer, one after the other.
+    std::uint32_t failures = 0;
     TimePoint due;
     TimePoint rests_until;
     std::vector<RankIndex> ranks;
@@ -56,11 +63,14 @@
   using Readers = std::map<std::optional<net::Endpoint>, Reader>;
 
   void ShareOut(TimePoint now);
+  std::vector<RankIndex> PortionOf(const std::vector<RankIndex>& ranks);
   void End(const Round& round, TimePoint now);
 
   std::map<RankIndex, FailureDomain> ranks_;
   // With the leader itself, which is used where no other is.
   Readers readers_{{std::nullopt, Reader{}}};
+  // Where the leader's next portion begins.
+  std::size_t portion_ = 0;
 };
 
 }  // namespace bilberryspool::control_node
--- a/tests/auto/control_node/round_shares_test.cc
+++ b/tests/auto/control_node/round_shares_test.cc
@@ -95,7 +95,7 @@
         return false;
       }
       if (!item.is_answered) {
-        shares_.OnFailure(item.round, now_);
+        shares_.OnFailure(item.round, false, now_);
         return true;
       }
       shares_.OnAnswer(item.round, DomainOf(item.reader), now_);
@@ -156,6 +156,35 @@
   }
 }
 
+// Symptom: a group keeps a map that its demand left 8 s ago; all readers are
+// said not to answer, every 1.4 s and at one moment. Sequence: the leader is
+// held up for 0.3 s; all calls under way time out, all readers rest, and the
+// leader reads 192 ranks itself, which holds it up for 0.3 s. Cause: its own
+// lateness was taken for theirs, and what it did instead made it late again.
+TEST_CASE("a leader that was late itself goes on with its readers") {
+  for (const std::uint32_t failures : {1U, 2U, 3U}) {
+    CAPTURE(failures);
+    RoundShares shares;
+    for (std::uint32_t i = 0; i < 192; ++i) {
+      shares.SetRank(RankIndex(i), DomainOf(i));
+    }
+    shares.SetReaders({ReaderIn(0), ReaderIn(1)});
+    TimePoint now = TimeAt(Seconds(1));
+    for (std::uint32_t i = 0; i < failures; ++i) {
+      for (const Round& round : shares.Due(now)) {
+        REQUIRE(round.reader.has_value());
+        shares.OnFailure(round, true, now + Milliseconds(300));
+      }
+      now += Milliseconds(400);
+    }
+    const std::vector<Round> rounds = shares.Due(now);
+    // Three times in a row it is they after all; and then not all at once.
+    REQUIRE_FALSE(rounds.empty());
+    CHECK(rounds[0].reader.has_value() == (failures < 3));
+    CHECK((rounds[0].reader.has_value() || rounds[0].ranks.size() <= 24));
+  }
+}
+
 TEST_CASE("a reader that is not known any more is not asked") {
   World world(16, 3);
   world.Run(Seconds(1), {});
--- a/tests/auto/groups/silent_ranks_test.cc
+++ b/tests/auto/groups/silent_ranks_test.cc
@@ -35,6 +35,18 @@
   TimePoint heard_at_;
 };
 
+TEST_CASE("its own lateness shows while it lasts and after") {
+  SilentRanks ranks;
+  const TimePoint start = TimeAt(Seconds(5));
+  ranks.Tick(start);
+  CHECK_FALSE(ranks.WasLateSince(start, start + kTick));
+  CHECK(ranks.WasLateSince(start, start + Milliseconds(300)));
+  ranks.Tick(start + Milliseconds(300));
+  CHECK(ranks.WasLateSince(start, start + Milliseconds(310)));
+  CHECK_FALSE(
+      ranks.WasLateSince(start + Milliseconds(305), start + Milliseconds(310)));
+}
+
 TEST_CASE("ranks that don't answer are missing until they do") {
   struct Row {
     const char* name;
