A rank is missing only where it was asked in vain; slow targets are told twice a second at most

That a rank was not heard says nothing any more: three questions in vain, by a reader that hears most of its ranks or by a leader that was not late, over half a second. The state line tells counts, sums and the age of the oldest; targets are logged as they turn slow or well.

--- a/src/libs/groups/silent_ranks.cc
+++ b/src/libs/groups/silent_ranks.cc
@@ -1,22 +1,29 @@
 #include "libs/groups/silent_ranks.h"
 
-#include <algorithm>
-
 namespace bilberryspool::groups {
 
 namespace {
 
-// Several readings: one may get lost, and a reader that fails is replaced
-// before.
-constexpr Duration kSilence = Milliseconds(650);
+// One answer may get lost, and so may all of a moment.
+constexpr std::uint32_t kLeastUnanswered = 3;
+constexpr Duration kSilence = Milliseconds(500);
 // Ticks are due every 25 ms.
 constexpr Duration kLate = Milliseconds(100);
 
 }  // namespace
 
 void SilentRanks::OnHeard(RankIndex rank, TimePoint now) {
-  heard_at_[rank] = now;
-  missing_.erase(rank);
+  ranks_[rank] = Rank{now, 0, now};
+}
+
+void SilentRanks::OnSilent(RankIndex rank, TimePoint now) {
+  const auto found = ranks_.find(rank);
+  if (found == ranks_.end()) {
+    return;
+  }
+  if (found->second.unanswered++ == 0) {
+    found->second.silent_since = now;
+  }
 }
 
 void SilentRanks::Tick(TimePoint now) {
@@ -24,11 +31,6 @@
     late_at_ = now;
   }
   ticked_at_ = now;
-  for (const auto& [rank, heard_at] : heard_at_) {
-    if (now - std::max(heard_at, late_at_) > kSilence) {
-      missing_.insert(rank);
-    }
-  }
 }
 
 bool SilentRanks::WasLateSince(TimePoint since, TimePoint now) const {
@@ -36,13 +38,19 @@
 }
 
 bool SilentRanks::IsHeard(RankIndex rank, Duration age, TimePoint now) const {
-  const auto found = heard_at_.find(rank);
-  return found != heard_at_.end() && now - found->second <= age;
+  const auto found = ranks_.find(rank);
+  return found != ranks_.end() && now - found->second.heard_at <= age;
 }
 
-std::set<RankIndex> SilentRanks::Missing() const {
-  return missing_.size() * 2 < heard_at_.size() ? missing_
-                                                : std::set<RankIndex>();
+std::set<RankIndex> SilentRanks::Missing(TimePoint now) const {
+  std::set<RankIndex> missing;
+  for (const auto& [index, rank] : ranks_) {
+    if (rank.unanswered >= kLeastUnanswered &&
+        now - rank.silent_since >= kSilence) {
+      missing.insert(index);
+    }
+  }
+  return missing.size() * 2 < ranks_.size() ? missing : std::set<RankIndex>();
 }
 
 }  // namespace bilberryspool::groups
--- a/src/libs/groups/silent_ranks.h
+++ b/src/libs/groups/silent_ranks.h
@@ -1,18 +1,23 @@
 // Which ranks of a group don't answer: cut off, frozen or dead.
 //
 // Requests are kept from such ranks, so a healthy one that is taken for silent
-// loses its work to the others. What can go wrong: the one who listens was late
+// loses its work to the others. What can go wrong: the one who listens is late
 // itself, for a plan or for want of processor time; all that came meanwhile is
 // unread, and dozens of ranks seem silent at once. It shows as hundreds of
-// targets that turn slow and well again within half a second. So silence counts
-// only from the last moment at which the listener was late.
+// targets that turn slow and well again several times a second, which hundreds
+// of gateways are told each time. So that a rank was not heard says nothing. A
+// rank is missing only where somebody who was well himself has asked it several
+// times and got no answer.
 //
 // Pure.
 
 #ifndef LIBS_GROUPS_SILENT_RANKS_H_
 #define LIBS_GROUPS_SILENT_RANKS_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "libs/base/ids.h"
@@ -23,21 +28,31 @@
 class SilentRanks {
  public:
   void OnHeard(RankIndex rank, TimePoint now);
+  // It was asked and has not answered.
+  void OnSilent(RankIndex rank, TimePoint now);
   // To be called often; takes notice of its own lateness.
   void Tick(TimePoint now);
 
-  // Whether the listener was late since then, or is now.
+  // Whether the listener was late since then, or is now: what was asked
+  // meanwhile may have been answered.
   bool WasLateSince(TimePoint since, TimePoint now) const;
   // Whether a rank was heard within `age`.
   bool IsHeard(RankIndex rank, Duration age, TimePoint now) const;
-  // Ranks that were heard once and are silent since; none where that is most of
-  // them, for then it is the listener that is cut off.
-  std::set<RankIndex> Missing() const;
-  std::size_t heard() const { return heard_at_.size(); }
+  // None where that is most of those that were ever heard, for then it is the
+  // listener that is cut off.
+  std::set<RankIndex> Missing(TimePoint now) const;
+  // How many were ever heard.
+  std::size_t heard() const { return ranks_.size(); }
 
  private:
-  std::map<RankIndex, TimePoint> heard_at_;
-  std::set<RankIndex> missing_;
+  struct Rank {
+    TimePoint heard_at;
+    // Questions without an answer since, and when the first was given up.
+    std::uint32_t unanswered = 0;
+    TimePoint silent_since;
+  };
+
+  std::map<RankIndex, Rank> ranks_;
   TimePoint ticked_at_;
   TimePoint late_at_;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -318,18 +318,37 @@
 }
 
 void ControlNode::SetSlowTargets(std::map<std::string, double> by_address) {
-  if (by_address == slow_targets_) {
+  // Each change is told to all gateways at once; hundreds of them take a small
+  // node a fifth of a second.
+  constexpr Duration kBetweenChanges = Milliseconds(500);
+  const TimePoint now = SteadyNow();
+  if (by_address == slow_targets_ || now - slow_told_at_ < kBetweenChanges) {
     return;
   }
+  LogSlowTargets(by_address);
   slow_targets_ = std::move(by_address);
+  slow_told_at_ = now;
   ++slow_revision_;
+  changed_.NotifyAll();
+}
+
+void ControlNode::LogSlowTargets(
+    const std::map<std::string, double>& by_address) {
   constexpr double kPercent = 100.0;
-  for (const auto& [address, pace] : slow_targets_) {
+  for (const auto& [address, pace] : by_address) {
+    const auto known = slow_targets_.find(address);
+    if (known != slow_targets_.end() && known->second == pace) {
+      continue;
+    }
     log_.Info(
         "A target is slow.",
         {{"address", address}, {"percent", static_cast<int>(pace * kPercent)}});
   }
-  changed_.NotifyAll();
+  for (const auto& [address, pace] : slow_targets_) {
+    if (!by_address.contains(address)) {
+      log_.Info("A target is well again.", {{"address", address}});
+    }
+  }
 }
 
 std::vector<net::Endpoint> ControlNode::FindNodes() const {
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -66,7 +66,8 @@
   void NoteUnreadable(const TargetId& target);
 
   // The targets that this node, as the leader, has found slow, by address,
-  // with how many times as long as healthy ones they take.
+  // with how many times as long as healthy ones they take. To be called again
+  // and again: of changes that follow each other closely only some are told.
   void SetSlowTargets(std::map<std::string, double> by_address);
   const std::map<std::string, double>& slow_targets() const {
     return slow_targets_;
@@ -111,6 +112,7 @@
   std::optional<Json> OnTarget(const Json& params);
   // Tells the other control nodes that a target leaves.
   void Spread(const traffic::TargetRecord& record);
+  void LogSlowTargets(const std::map<std::string, double>& by_address);
   void Tick();
 
   net::NetworkLoop& loop_;
@@ -121,6 +123,7 @@
   traffic::TargetBook targets_;
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
+  TimePoint slow_told_at_;
   std::map<net::Endpoint, TimePoint> heard_nodes_;
   // Announcements that could not be read.
   std::uint64_t unreadable_ = 0;
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -19,6 +19,9 @@
 
 constexpr Duration kTickInterval = Milliseconds(25);
 constexpr Duration kCollectInterval = Seconds(1);
+// While ranks of a group are not known: after a takeover or a restart of all
+// control nodes it keeps a map that may not fit until the last is found.
+constexpr Duration kHastyInterval = Milliseconds(250);
 constexpr Duration kLearnPatience = Milliseconds(500);
 constexpr std::uint64_t kVersionsOfATerm = 1ULL << 20U;
 
@@ -52,7 +55,8 @@
     loop_.SleepFor(kTickInterval);
     const bool is_due = SteadyNow() >= collect_due_;
     if (is_due) {
-      collect_due_ = SteadyNow() + kCollectInterval;
+      collect_due_ =
+          SteadyNow() + (LacksRanks() ? kHastyInterval : kCollectInterval);
       LearnFromMembers();
     }
     ForgetEnded();
@@ -86,6 +90,12 @@
   }
 }
 
+bool GroupKeeper::LacksRanks() const {
+  return std::any_of(tasks_.begin(), tasks_.end(), [](const auto& item) {
+    return !item.second->has_all_ranks();
+  });
+}
+
 void GroupKeeper::ForgetEnded() {
   std::erase_if(ended_, [](const auto& task) { return !task->is_calling(); });
 }
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -51,6 +51,7 @@
   // 404 for an engine that this node does not know.
   void Relay(net::HttpExchange& exchange);
   void Run();
+  bool LacksRanks() const;
   // Ended tasks whose last call has returned.
   void ForgetEnded();
   void CollectRanks();
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -181,11 +181,29 @@
              {"waiting", waiting},
              {"slots", engine_.slots * ranks_},
              {"slowest_percent", static_cast<int>(slowest * kPercent)},
-             {"heard", silence_.heard()}});
+             {"heard", silence_.heard()},
+             {"missing", silence_.Missing(now).size()},
+             {"counts", static_cast<std::uint64_t>(loads_.weight())},
+             {"sums", sums_},
+             {"oldest_sum_ms", OldestSum(now) / Milliseconds(1)}});
+  sums_ = 0;
   state_at_ = now;
   state_step_ = step;
 }
 
+// Of the sums of present readers, how long ago the oldest one came.
+Duration GroupTask::OldestSum(TimePoint now) const {
+  constexpr Duration kLongReplaced = Seconds(30);
+  Duration oldest{};
+  for (const auto& [reader, sum] : sums_of_) {
+    const Duration age = now - sum.at;
+    if (age < kLongReplaced) {
+      oldest = std::max(oldest, age);
+    }
+  }
+  return oldest;
+}
+
 // Sends what is due, and plans as soon as there is room for a change.
 void GroupTask::Pump() {
   const TimePoint now = SteadyNow();
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -80,6 +80,8 @@
       const Round& round,
       const groups::RoundQuestion& question);
   double read_work() const;
+  void NoteSum(const Round& round, const groups::RoundAnswer& answer);
+  void NoteSilent(const Round& round, const groups::RoundAnswer& answer);
   void AskSilent(TimePoint now);
   void AskReport(RankIndex rank, const net::Endpoint& endpoint);
   void TakeReport(RankIndex rank,
@@ -100,6 +102,7 @@
   // group_task.cc
   void NoteLateness(TimePoint now);
   void NoteState(TimePoint now);
+  Duration OldestSum(TimePoint now) const;
   void Plan();
   placement::BoundedPlanOptions PlanOptions();
   std::function<void()> PauseBetweenMoves();
@@ -139,7 +142,13 @@
   std::map<RankIndex, TimePoint> asked_at_;
   RoundShares shares_;
   // Of the last answer of each reader.
-  std::map<std::optional<net::Endpoint>, placement::ReadingMark> marks_;
+  struct Sum {
+    placement::ReadingMark mark;
+    TimePoint at;  // when it last held any work
+  };
+  std::map<std::optional<net::Endpoint>, Sum> sums_of_;
+  // With work in them, since the state was logged last.
+  std::uint32_t sums_ = 0;
   struct RankLoad {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "libs/groups/round_codec.h"
 #include "libs/groups/slow_ranks.h"
@@ -67,7 +68,7 @@
   Spawn([this, round] {
     groups::RoundQuestion question;
     question.group = group_;
-    question.mark = marks_[round.reader];
+    question.mark = sums_of_[round.reader].mark;
     question.read_work = read_work();
     question.counters = engine_.expert_layers * engine_.experts_per_layer;
     for (const RankIndex rank : round.ranks) {
@@ -87,15 +88,43 @@
       return;
     }
     shares_.OnAnswer(round, answer->domain, SteadyNow());
-    marks_[round.reader] = answer->mark;
+    NoteSum(round, *answer);
     for (const groups::RankWord& word : answer->words) {
       TakeReport(word.rank, word.report, asked + word.asked_after);
     }
-    loads_.Add(answer->work, SteadyNow());
+    NoteSilent(round, *answer);
     Pump();
   });
 }
 
+void GroupTask::NoteSum(const Round& round, const groups::RoundAnswer& answer) {
+  const TimePoint now = SteadyNow();
+  Sum& sum = sums_of_[round.reader];
+  sum.mark = answer.mark;
+  if (answer.work.empty()) {
+    return;
+  }
+  sum.at = now;
+  ++sums_;
+  loads_.Add(answer.work, now);
+}
+
+// Where most of its ranks are silent, the reader may be cut off or late itself;
+// the leader asks them then.
+void GroupTask::NoteSilent(const Round& round,
+                           const groups::RoundAnswer& answer) {
+  std::set<RankIndex> silent(round.ranks.begin(), round.ranks.end());
+  for (const groups::RankWord& word : answer.words) {
+    silent.erase(word.rank);
+  }
+  if (silent.size() * 2 >= round.ranks.size()) {
+    return;
+  }
+  for (const RankIndex rank : silent) {
+    silence_.OnSilent(rank, SteadyNow());
+  }
+}
+
 // Work of reading one token of a prompt, in that of writing one.
 double GroupTask::read_work() const {
   const double write_time = ToSeconds(engine_.step_per_request);
@@ -129,10 +158,14 @@
 
 void GroupTask::AskReport(RankIndex rank, const net::Endpoint& endpoint) {
   Spawn([this, rank, endpoint] {
+    const TimePoint asked = SteadyNow();
     const EngineCalls::Answer answer =
         calls_.Ask(endpoint, protocol_.report_request(), kReportPatience);
     const auto report = protocol_.read_report(answer.body);
     if (!report.has_value()) {
+      if (!silence_.WasLateSince(asked, SteadyNow())) {
+        silence_.OnSilent(rank, SteadyNow());
+      }
       return;
     }
     TakeReport(rank, *report, answer.as_of);
@@ -159,7 +192,7 @@
     by_address[addresses_.at(rank).ToString()] =
         std::round(paces_.at(rank) * 2.0) / 2.0;
   }
-  for (const RankIndex rank : silence_.Missing()) {
+  for (const RankIndex rank : silence_.Missing(SteadyNow())) {
     by_address[addresses_.at(rank).ToString()] = traffic::kMissingPace;
   }
 }
