--- a/src/plugins/control_node/round_shares.cc
+++ b/src/plugins/control_node/round_shares.cc
@@ -19,6 +19,8 @@
 // that it does, and then it would take whoever answers it for lost.
 constexpr std::size_t kLeaderPortion = 24;
 constexpr std::uint32_t kMostFailures = 3;
+// From one question to the next, in the time that the last answer took.
+constexpr double kRestFactor = 1.5;
 // A node that did not answer is tried again after this.
 constexpr Duration kRest = Seconds(1);
 
@@ -87,7 +89,9 @@
                 endpoint.has_value() ? reader.ranks : PortionOf(reader.ranks)};
     const auto count = static_cast<Duration::rep>(round.ranks.size());
     reader.due = now + std::max(kShortestInterval, each * count);
+    reader.asked_at = now;
     reader.is_asked = true;
+    reader.is_hastened = false;
     rounds.push_back(std::move(round));
   }
   return rounds;
@@ -126,8 +130,9 @@
   if (found == readers_.end()) {
     return;
   }
-  found->second.is_asked = false;
-  found->second.due = std::max(found->second.due, now);
+  Reader& reader = found->second;
+  reader.is_asked = false;
+  reader.due = std::max(reader.due, now);
 }
 
 void RoundShares::OnAnswer(const Round& round,
@@ -136,8 +141,15 @@
   End(round, now);
   const auto found = readers_.find(round.reader);
   if (found != readers_.end()) {
-    found->second.domain = domain;
-    found->second.failures = 0;
+    Reader& reader = found->second;
+    reader.domain = domain;
+    reader.failures = 0;
+    const Duration took = now - reader.asked_at;
+    const Duration rested(static_cast<Duration::rep>(
+        kRestFactor * static_cast<double>(took.count())));
+    reader.due = reader.is_hastened
+                     ? now
+                     : std::max(reader.due, reader.asked_at + rested);
   }
 }
 
@@ -164,6 +176,7 @@
 void RoundShares::Hasten(TimePoint now) {
   for (auto& [endpoint, reader] : readers_) {
     reader.due = std::min(reader.due, now);
+    reader.is_hastened = reader.is_asked;
   }
 }
 
--- a/src/plugins/control_node/round_shares.h
+++ b/src/plugins/control_node/round_shares.h
@@ -4,6 +4,8 @@
 // 192 of them itself would do nothing else, and one that reads a few does not
 // know what the others are asked for. So the ranks are shared out among the
 // other control nodes that answer, those of a node's own failure domain first.
+// A node that takes long is asked less often: it is short of processor time,
+// and more questions would make it later still.
 // A node that does not answer is left out for a while, and its ranks go to the
 // others with the next round; a rank has one reader at a time, so that nothing
 // is counted twice. Where there is no other node the leader reads all
@@ -56,6 +58,8 @@
     bool is_asked = false;
     // Rounds without an answer, one after the other.
     std::uint32_t failures = 0;
+    bool is_hastened = false;  // while it was asked
+    TimePoint asked_at;
     TimePoint due;
     TimePoint rests_until;
     std::vector<RankIndex> ranks;
--- a/tests/auto/control_node/round_shares_test.cc
+++ b/tests/auto/control_node/round_shares_test.cc
@@ -185,6 +185,32 @@
   }
 }
 
+// Symptom: all readers of a fleet answer later and later, until none answers in
+// time. Sequence: each is short of processor time for a moment, is asked again
+// as soon as it has answered, and never catches up. Cause: questions came at
+// the same interval whatever they took.
+TEST_CASE("a reader that takes long is asked less often") {
+  struct Row {
+    Duration takes;
+    Duration next;
+  };
+  const Row rows[] = {{Milliseconds(10), Milliseconds(60)},
+                      {Milliseconds(90), Milliseconds(135)},
+                      {Milliseconds(250), Milliseconds(375)}};
+  for (const Row& row : rows) {
+    CAPTURE(row.takes.count());
+    RoundShares shares;
+    shares.SetRank(RankIndex(0), FailureDomain("a"));
+    shares.SetReaders({ReaderIn(0)});
+    const TimePoint now = TimeAt(Seconds(1));
+    const auto first = shares.Due(now);
+    REQUIRE(first.size() == 1);
+    shares.OnAnswer(first[0], FailureDomain("a"), now + row.takes);
+    CHECK(shares.Due(now + row.next - Milliseconds(1)).empty());
+    CHECK(shares.Due(now + row.next).size() == 1);
+  }
+}
+
 TEST_CASE("a reader that is not known any more is not asked") {
   World world(16, 3);
   world.Run(Seconds(1), {});
