--- a/tests/auto/control_node/rank_rounds_test.cc
+++ b/tests/auto/control_node/rank_rounds_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <numeric>
@@ -225,18 +226,28 @@
   });
 }
 
+// What is left unanswered on a busy machine is ordered again, as its giver
+// does.
 TEST_CASE("an order reaches every rank whole, and each answer comes back") {
+  constexpr int kMostTries = 50;
+  constexpr std::uint32_t kAccepted = net::status::kAccepted;
   WithWorld([](World& world) {
     const std::string map(20'000, 'm');
     world.engine(2).is_silent = true;
-    const groups::WideAnswer answer = world.Spread(map);
-    REQUIRE(answer.statuses.size() == kRanks);
-    CHECK(answer.statuses[2] == 0);
-    for (const std::size_t i : {0U, 1U}) {
-      // Left unanswered where the machine is busy, but never cut.
-      CHECK((answer.statuses[i] == 202 || answer.statuses[i] == 0));
-      CHECK((answer.statuses[i] == 0 || world.engine(i).ordered == map));
+    std::vector<std::uint32_t> statuses(kRanks);
+    for (int i = 0; i < kMostTries &&
+                    (statuses[0] != kAccepted || statuses[1] != kAccepted);
+         ++i) {
+      const groups::WideAnswer answer = world.Spread(map);
+      REQUIRE(answer.statuses.size() == kRanks);
+      CHECK(answer.statuses[2] == 0);
+      statuses[0] = std::max(statuses[0], answer.statuses[0]);
+      statuses[1] = std::max(statuses[1], answer.statuses[1]);
     }
+    CHECK(statuses[0] == kAccepted);
+    CHECK(statuses[1] == kAccepted);
+    CHECK(world.engine(0).ordered == map);
+    CHECK(world.engine(1).ordered == map);
   });
 }
 
