--- a/tests/auto/control_node/rank_rounds_test.cc
+++ b/tests/auto/control_node/rank_rounds_test.cc
@@ -26,6 +26,8 @@
 const GroupId kGroup("g");
 const FailureDomain kDomain("sahab");
 constexpr std::uint32_t kRanks = 3;
+constexpr int kMostTries = 50;
+constexpr std::uint32_t kAccepted = net::status::kAccepted;
 
 // Engines that tell their step and one counter as plain numbers.
 sidecar::EngineProtocol PlainProtocol() {
@@ -179,11 +181,10 @@
 
 // A rank that answers late on a busy machine is in the next round.
 TEST_CASE("rounds tell of all ranks and add up what they were asked for") {
-  constexpr int kMostRounds = 50;
   WithWorld([](World& world) {
     placement::ReadingMark mark;
     std::set<RankIndex> heard;
-    for (int i = 0; i < kMostRounds && heard.size() < kRanks; ++i) {
+    for (int i = 0; i < kMostTries && heard.size() < kRanks; ++i) {
       const groups::RoundAnswer answer = world.Read(mark);
       mark = answer.mark;
       CHECK(answer.domain == kDomain);
@@ -200,7 +201,7 @@
       world.engine(i).step = static_cast<int>(i + 1);
     }
     double work = 0.0;
-    for (int i = 0; i < kMostRounds && work < 60.0; ++i) {
+    for (int i = 0; i < kMostTries && work < 60.0; ++i) {
       const groups::RoundAnswer answer = world.Read(mark);
       mark = answer.mark;
       work = std::accumulate(answer.work.begin(), answer.work.end(), work);
@@ -229,8 +230,6 @@
 // What is left unanswered on a busy machine is ordered again, as its giver
 // does.
 TEST_CASE("an order reaches every rank whole, and each answer comes back") {
-  constexpr int kMostTries = 50;
-  constexpr std::uint32_t kAccepted = net::status::kAccepted;
   WithWorld([](World& world) {
     const std::string map(20'000, 'm');
     world.engine(2).is_silent = true;
