--- a/src/libs/groups/slow_ranks.h
+++ b/src/libs/groups/slow_ranks.h
@@ -2,15 +2,10 @@
 //
 // What can go wrong: one engine turns several times slower. A step lasts as
 // long as the slowest rank's own part, and that part begins with a fixed time
-// however few requests the rank has: with 1 request on an engine 5.5 times
-// slower than its peers, steps of the whole group took 167 ms in place of 50.
-// It shows as pauses of all streams above the longest that callers take for
-// good. A rank without requests has no part of its own; without it the group
-// has one batch less and keeps its pace.
-//
-// Measured on 16 ranks, one of them 5.5 times slower for 6.9 s: of 802 requests
-// that arrived in the 10 s from its beginning 0.91 were in time, 0.13 when the
-// rank only got fewer requests.
+// however few requests the rank has: one request is enough to make steps of the
+// whole group last several times as long. It shows as pauses of all streams
+// above the longest that callers take for good. A rank without requests has no
+// part of its own; without it the group has one batch less and keeps its pace.
 //
 // Pure: what is known in, ranks out.
 
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -63,10 +63,10 @@
   // this interval until they are.
   Duration copy_poll = Milliseconds(20);
   // A rank that still says nothing of its copies is given the order again: the
-  // engine may have lost it. Chosen, a few polls; not seen to be needed.
+  // engine may have lost it. A few polls.
   Duration copy_resend = Milliseconds(300);
   // Ranks that were not heard yet where all have to be, and the few that tell
-  // when a step begins, are asked at this interval. Answers take 10 to 30 ms.
+  // when a step begins, are asked at this interval.
   Duration ask_again = Milliseconds(40);
   // How far ahead of the present step the switch is put, so that all ranks are
   // armed before the group gets there and need not wait; the time that arming
@@ -77,8 +77,6 @@
   // The group rather stands still for this part of a step than make one more
   // step with the old map, which is changed because it makes steps last longer:
   // at three times the even load a step lost costs two thirds of its length.
-  // Chosen below that; with 72 ranks and lost orders 0.03 of the worth of a
-  // day, measured together with orders given again sooner.
   double wait_for_switch = 0.4;
   // What is left of a long arming in the expectation after each further change.
   double arming_memory = 0.7;
@@ -87,30 +85,24 @@
   // Ranks that are asked for their word and armed at a time. The more, the
   // longer each waits for the others between its word and the answer; the
   // fewer, the longer the whole takes, in which several VMs that freeze
-  // together may be found on both sides of it. With 4 of 16 arming took 24 to
-  // 31 ms, with 8 or all of them 21 ms, of which 12 are one slow rank's.
+  // together may be found on both sides of it.
   std::uint32_t armed_at_once = 8;
   // From the question to the answer to the order, usually: a rank that takes
-  // longer does not keep the next one waiting. Measured: 3 to 6 ms.
+  // longer does not keep the next one waiting.
   Duration arming_turn = Milliseconds(6);
   // Ranks are armed on their own word where hearing all of them right before
   // the hold took no longer than this; else at once. A second round of words
-  // doubles the messages of the exchange: with 16 ranks, 8 ms a round, a lone
-  // frozen VM then holds the group in 5 to 8 of 22 to 40 moments in place of 11
-  // of 28; with 72 ranks and 0.15 of a core, 35 ms a round, arming took 75 to
-  // 90 ms in place of 32 to 38, words came too late, and two days were worth
-  // 0.065 and 0.350 in place of 0.153 and 0.518.
+  // doubles the messages of the exchange; where a round takes long the words
+  // come too late to be of use, and the group waits for them.
   Duration longest_word_round = Milliseconds(15);
   // A rank that has said nothing for this long since it was asked is not armed.
   // Twice the time after which it is asked again: one word may get lost.
   Duration word_timeout = Milliseconds(80);
   // A rank that is silent for this long while copies are made: the change is
-  // given up, for the demand that it was made for does not last. Four reports
-  // of the calm.
+  // given up, for the demand that it was made for does not last.
   Duration copy_silence = Seconds(1);
   // Once all have copied, every rank has to be heard anew within this time;
-  // otherwise the change is given up. Several times what a round of reports
-  // takes: 10 to 30 ms measured with 16 and with 72 ranks.
+  // otherwise the change is given up. Several rounds of reports.
   Duration confirm_timeout = Milliseconds(400);
   // A new owner waits this long before it judges what it finds: its
   // predecessor's last orders must show in the reports.
--- a/src/libs/packing/packed_text.cc
+++ b/src/libs/packing/packed_text.cc
@@ -9,7 +9,7 @@
 
 // No text of a configuration begins like this: it is no JSON.
 constexpr std::string_view kMark = "zstd:";
-// The library's own choice; others were not measured.
+// The library's own choice.
 constexpr int kLevel = 3;
 constexpr int kVariant = sodium_base64_VARIANT_ORIGINAL_NO_PADDING;
 
--- a/src/libs/packing/packed_text.h
+++ b/src/libs/packing/packed_text.h
@@ -2,9 +2,8 @@
 //
 // A whole configuration of a large deployment has hundreds of kilobytes, most
 // of it repeated field names. It crosses the log, the disks and the links to
-// every gateway; sent as it is, one change cost the leading control node 41 ms
-// of processor time for two followers (0.56 MB of 1,700 routes, measured), a
-// quarter of a second on 0.15 of a core, and held up its heartbeats.
+// every gateway; sent as it is, one change takes a small leading control node a
+// quarter of a second of processor time and holds up its heartbeats.
 //
 // Pure; zstd and base64 underneath.
 
--- a/src/libs/placement/bounded_plan.h
+++ b/src/libs/placement/bounded_plan.h
@@ -66,17 +66,15 @@
   Duration least_copies = Milliseconds(115);
   Duration longest_copies = Milliseconds(350);
   // No larger change is looked at where one brings the imbalance below this
-  // multiple of what is good enough: a plan takes 2 to 4 ms of 72 ranks, 13 to
-  // 27 ms on 0.15 of a core.
+  // multiple of what is good enough: each plan takes its time too.
   double near_enough = 1.15;
 };
 
 // Of plans with so many, twice, three times as many experts to a rank, the one
 // under which the group loses least time up to the horizon. Until a change is
 // over the old map slows every step, so a small one that comes soon, to be
-// followed by another, may beat a good one that comes late: with copies of
-// 0.11 s one at a time in place of three gained 0.02 of the mean worth of a
-// day. `options.new_experts_in_all` counts only where copies take no time.
+// followed by another, may beat a good one that comes late.
+// `options.new_experts_in_all` counts only where copies take no time.
 BoundedPlan PlanSoonest(const ExpertMap& map,
                         const ExpertLoads& loads,
                         BoundedPlanOptions options,
--- a/src/libs/placement/pick_work.h
+++ b/src/libs/placement/pick_work.h
@@ -9,9 +9,6 @@
 // lengthen steps, and streams pause too long. Weighed by work, the counts stand
 // for all requests that run.
 //
-// Measured on 15 days with trouble of a group of 16: mean worth 0.538 in place
-// of 0.503, a third of the copies; on three quiet days 0.937 in place of 0.900.
-//
 // Pure.
 
 #ifndef LIBS_PLACEMENT_PICK_WORK_H_
--- a/src/libs/placement/placement_policy.cc
+++ b/src/libs/placement/placement_policy.cc
@@ -246,7 +246,7 @@
 
 }  // namespace
 
-// Chosen by placement_bench's daily drift; docs/design/placement.md.
+// Skew weighs more: instructions are due at a peak, and any stall is lateness.
 PlacementSettings PlacementSettings::Qasr() {
   PlacementSettings settings;
   settings.skew_weight = 4;
--- a/src/libs/placement/recent_loads.h
+++ b/src/libs/placement/recent_loads.h
@@ -19,14 +19,11 @@
   // What is in demand may change from one step to the next. Where the latest
   // counts of a layer are less alike than this to those before (the cosine of
   // the angle between them), those before are forgotten: a mean of both would
-  // fit neither. Between readings of half a second without a change it was
-  // 0.97 to 1.00, across a change of the most wanted expert 0.37 to 0.72.
+  // fit neither.
   double least_likeness = 0.93;
   // Counts of a layer, of all ranks together, are gathered until there are this
-  // many, and then compared. Of 20 changes of demand 2,000 showed one 0.07 to
-  // 0.10 s after it, 5,000 after 0.09 to 0.11 s, neither one that there was
-  // not; with 500 there were 20 of those. Of one rank's readings alone most
-  // have fewer, and one change in eight was not seen for half a second.
+  // many, and then compared: of fewer, chance looks like a change of demand; of
+  // one rank's alone there are mostly fewer.
   double least_counts = 2'000.0;
 };
 
--- a/src/libs/traffic/text_fetch.h
+++ b/src/libs/traffic/text_fetch.h
@@ -26,11 +26,10 @@
   Duration patience = Milliseconds(300);
   double bytes_per_second = 500'000.0;
   // Up to this much for all gateways together one node is enough: 0.3 s of a
-  // link of 170 Mbit/s. At a third of it texts of 60 kB took 0.5 to 0.7 s to be
-  // in force at 39 gateways, in place of 0.2 s, for the wait alone.
+  // link of 170 Mbit/s. To wait for more nodes would take longer than that.
   std::uint64_t one_node_bytes = 6'000'000;
   // How long a node of one's own is waited for. Followers of the log learn what
-  // is in force 0.03 to 0.2 s after the one that leads.
+  // is in force a little after the one that leads.
   Duration home_patience = Milliseconds(400);
 };
 
--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -12,8 +12,8 @@
 
 namespace {
 
-// A sidecar that did not answer is not asked again for this long. Chosen: with
-// 2 s groups that formed anew after a cut were asked from afar, 0.3 s behind.
+// A sidecar that did not answer is not asked again for this long. Short, since
+// groups that form anew after a cut are else asked from afar, with a lag.
 constexpr Duration kSidecarRest = Milliseconds(700);
 // An engine's reports describe it as it was up to this long before, unless a
 // sidecar asks.
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -67,6 +67,9 @@
   void AddSlow(std::map<std::string, double>& by_address) const;
 
  private:
+  // Calls to ranks that the leader makes at once by itself; more go by way of
+  // the nodes that read them.
+  static constexpr std::size_t kMostCalls = 24;
   static placement::RecentLoadsOptions LoadOptions(
       const traffic::EngineModel& engine);
   // group_task.cc
--- /dev/null
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -0,0 +1,161 @@
+// GroupTask: how orders reach the ranks.
+
+#include <set>
+#include <utility>
+
+#include "libs/groups/round_codec.h"
+#include "libs/net/http_status.h"
+#include "libs/net/steady_time.h"
+#include "libs/packing/packed_text.h"
+#include "plugins/control_node/group_task.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+
+namespace {
+
+// Orders are answered at once, and the group may be standing still until the
+// last one is: a lost one is given again soon. An engine answers its sidecar
+// within a few milliseconds; to send an order to all ranks takes up to 1 ms
+// each on 0.15 of a core, and a map is longer to send and to read.
+constexpr Duration kOrderPatience = Milliseconds(25);
+constexpr Duration kOrderWay = Milliseconds(40);
+constexpr Duration kMapWay = Milliseconds(80);
+constexpr Duration kOrderTimePerRank = Milliseconds(1);
+
+}  // namespace
+
+EngineCalls::Patience GroupTask::PatienceFor(
+    const groups::EngineOrder& order) const {
+  const bool has_map = std::holds_alternative<groups::PrepareMap>(order);
+  return {kOrderPatience,
+          (has_map ? kMapWay : kOrderWay) + kOrderTimePerRank * ranks_};
+}
+
+void GroupTask::SendOrder(const groups::RankOrder& order) {
+  Spawn([this, order] {
+    // A node that was suspended may have been replaced meanwhile. Where it
+    // still leads after all, the order is given later.
+    if (!may_act_()) {
+      switch_.OnAnswer(order, groups::OrderAnswer::kUnanswered, SteadyNow());
+      return;
+    }
+    const net::HttpRequest request = protocol_.order_request(order, ranks_);
+    const net::Endpoint& engine = addresses_.at(order.rank);
+    const bool is_about_hold =
+        std::holds_alternative<groups::HoldStep>(order.order) ||
+        std::holds_alternative<groups::ReleaseStep>(order.order);
+    const EngineCalls::Answer answer =
+        is_about_hold ? AskForHold(engine, request)
+                      : calls_.Ask(engine, request, PatienceFor(order.order));
+    OnAnswer(order, answer.status);
+    Pump();
+  });
+}
+
+void GroupTask::OnAnswer(const groups::RankOrder& order, int status) {
+  switch_.OnAnswer(order,
+                   status == 0 ? groups::OrderAnswer::kUnanswered
+                               : protocol_.read_answer(status),
+                   SteadyNow());
+}
+
+// Orders to prepare and to arm may reach a rank late without harm, so they may
+// go by way of a node that freezes meanwhile; what is not answered in time is
+// given again by another way. Those about a hold go alone.
+std::vector<groups::RankOrder> GroupTask::SendWide(
+    std::vector<groups::RankOrder> orders,
+    TimePoint now) {
+  if (orders.size() <= kMostCalls) {
+    return orders;
+  }
+  const groups::RankOrder first = orders.front();
+  std::vector<RankIndex> ranks;
+  for (const groups::RankOrder& order : orders) {
+    if (groups::SameOrder(order.order, first.order)) {
+      ranks.push_back(order.rank);
+    }
+  }
+  const groups::WideOrder wide = WideOrderOf(first);
+  std::set<RankIndex> sent;
+  for (const Round& part : shares_.Split(ranks, now)) {
+    if (!part.reader.has_value()) {
+      continue;
+    }
+    SendPart(part, first, wide);
+    sent.insert(part.ranks.begin(), part.ranks.end());
+  }
+  std::erase_if(orders, [&](const groups::RankOrder& order) {
+    return sent.contains(order.rank);
+  });
+  return orders;
+}
+
+// For no rank yet.
+groups::WideOrder GroupTask::WideOrderOf(const groups::RankOrder& order) const {
+  const net::HttpRequest request = protocol_.order_request(order, ranks_);
+  groups::WideOrder wide;
+  wide.patience = kOrderPatience;
+  wide.method = request.method;
+  wide.target = request.target;
+  wide.content_type = request.headers.ValueOr("Content-Type", "");
+  wide.body = packing::Pack(request.body);
+  return wide;
+}
+
+void GroupTask::SendPart(const Round& part,
+                         const groups::RankOrder& order,
+                         groups::WideOrder wide) {
+  for (const RankIndex rank : part.ranks) {
+    wide.ranks.push_back({rank, addresses_.at(rank).ToString()});
+  }
+  Spawn([this, part, order, wide = std::move(wide)] {
+    const TimePoint asked = SteadyNow();
+    const auto answer = AnswerOf(part, wide);
+    if (!answer.has_value() && !silence_.WasLateSince(asked, SteadyNow())) {
+      shares_.Rest(*part.reader, SteadyNow());
+    }
+    groups::RankOrder one = order;
+    for (std::size_t i = 0; i < part.ranks.size(); ++i) {
+      const bool is_told = answer.has_value() && i < answer->statuses.size();
+      one.rank = part.ranks[i];
+      OnAnswer(one, is_told ? static_cast<int>(answer->statuses[i]) : 0);
+    }
+    Pump();
+  });
+}
+
+std::optional<groups::WideAnswer> GroupTask::AnswerOf(
+    const Round& part,
+    const groups::WideOrder& wide) {
+  if (!may_act_()) {
+    return std::nullopt;
+  }
+  const EngineCalls::Answer answer =
+      calls_.AskNode(*part.reader, OrderSpreader::RequestFor(wide),
+                     OrderSpreader::PatienceFor(wide) + kOrderWay);
+  return answer.status == net::status::kOk
+             ? groups::DecodeWideAnswer(answer.body)
+             : std::nullopt;
+}
+
+EngineCalls::Answer GroupTask::AskForHold(const net::Endpoint& engine,
+                                          const net::HttpRequest& request) {
+  constexpr EngineCalls::Patience kPatience{kOrderPatience, kOrderWay};
+  const auto helper = helpers_.Next();
+  if (!helper.has_value()) {
+    return calls_.Ask(engine, request, kPatience);
+  }
+  EngineCalls::Answer answer =
+      calls_.AskThrough(*helper, engine, request, kPatience);
+  const Passing passing = JudgePassing(answer.status);
+  helpers_.OnPassed(*helper, passing);
+  if (passing == Passing::kHelperFailed) {
+    log_.Info("An order about a hold goes by way of another node.",
+              {{"failed", helper->ToString()}, {"status", answer.status}});
+  }
+  return passing == Passing::kAnswered ? answer : EngineCalls::Answer{};
+}
+
+}  // namespace bilberryspool::control_node
