A word counts by when it was said

Cause: words counted by when they came. Now by when they were asked for. Test: seen failing with words counted a second later than said.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -102,12 +102,12 @@
 void StepSwitch::OnReport(RankIndex index,
                           const EngineReport& report,
                           TimePoint as_of,
-                          TimePoint now) {
+                          TimePoint heard_at) {
   const auto found = ranks_.find(index);
   if (found == ranks_.end()) {
     return;
   }
-  found->second.heard_at = now;
+  found->second.heard_at = std::max(found->second.heard_at, heard_at);
   if (as_of < found->second.as_of) {
     return;
   }
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -130,12 +130,12 @@
              MapVersion first_version,
              TimePoint now);
 
-  // The report came at `now` and describes the rank as it was at `as_of` or
-  // later.
+  // The rank answered at `heard_at` or later, and the report describes it as it
+  // was at `as_of` or later.
   void OnReport(RankIndex rank,
                 const EngineReport& report,
                 TimePoint as_of,
-                TimePoint now);
+                TimePoint heard_at);
   // A step of that epoch had begun at `as_of`, from whatever source; keeps the
   // estimate of the present step close.
   void OnStep(GroupEpoch epoch, StepNumber step, TimePoint as_of);
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -89,7 +89,8 @@
   void AskReport(RankIndex rank, const net::Endpoint& endpoint);
   void TakeReport(RankIndex rank,
                   const groups::EngineReport& report,
-                  TimePoint as_of);
+                  TimePoint as_of,
+                  TimePoint heard_at);
   void ReadMap();
   // The map in use, as the ranks tell of it one by one.
   struct MapReading {
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -90,7 +90,10 @@
     shares_.OnAnswer(round, answer->domain, SteadyNow());
     NoteSum(round, *answer);
     for (const groups::RankWord& word : answer->words) {
-      TakeReport(word.rank, word.report, asked + word.asked_after);
+      // The answer waits for the slowest rank; that a rank answers is known of
+      // the time at which it was asked, and it may be frozen since.
+      const TimePoint at = asked + word.asked_after;
+      TakeReport(word.rank, word.report, at, at);
     }
     NoteSilent(round, *answer);
     Pump();
@@ -168,19 +171,20 @@
       }
       return;
     }
-    TakeReport(rank, *report, answer.as_of);
+    TakeReport(rank, *report, answer.as_of, SteadyNow());
     Pump();
   });
 }
 
 void GroupTask::TakeReport(RankIndex rank,
                            const groups::EngineReport& report,
-                           TimePoint as_of) {
+                           TimePoint as_of,
+                           TimePoint heard_at) {
   paces_[rank] = report.pace;
   silence_.OnHeard(rank, SteadyNow());
   loads_at_[rank] = {report.running, report.waiting};
   newest_step_ = report.step;
-  switch_.OnReport(rank, report, as_of, SteadyNow());
+  switch_.OnReport(rank, report, as_of, heard_at);
 }
 
 void GroupTask::AddSlow(std::map<std::string, double>& by_address) const {
--- a/tests/auto/groups/step_switch_test.cc
+++ b/tests/auto/groups/step_switch_test.cc
@@ -275,6 +275,11 @@
     }
   }
   void Silence(RankIndex rank) { silent_.insert(rank); }
+  // What the rank said at `heard_at` comes only now.
+  void DeliverLate(RankIndex rank, TimePoint heard_at) {
+    owner_.OnReport(rank, group_.Report(rank), heard_at, heard_at);
+  }
+  TimePoint now() const { return now_; }
   void Wake() { silent_.clear(); }
   // Copies there take until it is called again.
   void SetCopying(std::optional<RankIndex> rank) { copying_ = rank; }
@@ -348,6 +353,30 @@
   }
 }
 
+// Symptom: the same. Sequence: the ranks of a failure domain are asked in one
+// round; one of them answers and freezes with its VM; the round's answer waits
+// 0.1 s for another and comes after the last copy is done. Cause: a word
+// counted by when it came, not by when it was said.
+TEST_CASE("a word that was said before its rank froze does not count") {
+  for (std::uint32_t frozen = 0; frozen < kRanks - 1; ++frozen) {
+    CAPTURE(frozen);
+    QuietWorld world;
+    REQUIRE(world.phase() == SwitchPhase::kIdle);
+    world.SetCopying(RankIndex(kRanks - 1));
+    world.Begin();
+    world.Run(Milliseconds(300));
+    const TimePoint frozen_at = world.now();
+    world.Silence(RankIndex(frozen));
+    world.Run(Milliseconds(50));
+    world.SetCopying(std::nullopt);
+    for (int i = 0; i < 100; ++i) {
+      world.Turn();
+      world.DeliverLate(RankIndex(frozen), frozen_at);
+    }
+    CHECK_FALSE(world.has_held());
+  }
+}
+
 // Symptom: after a rank was lost the group runs at its first map for 0.4 to 0.8
 // s longer than it has to. Sequence: the group forms anew; each rank's report
 // of the new epoch describes it as of 0.3 s before, as those from afar do.
