--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -18,7 +18,6 @@
                       {"was_leader", query.was_leader},
                       {"slow_revision", query.slow_revision},
                       {"wants_configuration", query.wants_configuration},
-                      {"wants_versions", query.wants_versions},
                       {"wait_us", query.wait.count()}};
 }
 
@@ -61,11 +60,9 @@
   const auto was_leader = Flag(*object, "was_leader");
   const auto slow_revision = Number(*object, "slow_revision");
   const auto wants_configuration = Flag(*object, "wants_configuration");
-  const auto wants_versions = Flag(*object, "wants_versions");
   const auto wait = Number(*object, "wait_us");
   if (!asker || !control_address || !boot || !revision || !version ||
-      !was_leader || !slow_revision || !wants_configuration ||
-      !wants_versions || !wait) {
+      !was_leader || !slow_revision || !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -77,7 +74,6 @@
   query.was_leader = *was_leader;
   query.slow_revision = *slow_revision;
   query.wants_configuration = *wants_configuration;
-  query.wants_versions = *wants_versions;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
   return query;
 }
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -34,9 +34,6 @@
   // Whether a newer configuration is wanted with the answer, or only its
   // number: all control nodes have the same one, which may be large.
   bool wants_configuration = true;
-  // Whether the number of a newer configuration is told at once, rather than
-  // with the next answer that is due.
-  bool wants_versions = true;
   Duration wait{};
 };
 
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -31,8 +31,7 @@
   const bool knows_this_boot = query->boot == node_.boot();
   const std::uint64_t revision = knows_this_boot ? query->revision : 0;
   const auto is_urgent = [&] {
-    return (query->wants_versions &&
-            node_.configuration().version() > query->version) ||
+    return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
            query->slow_revision != node_.slow_revision();
   };
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -7,7 +7,6 @@
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/traffic/target_codec.h"
-#include "libs/traffic/version_news.h"
 
 namespace bilberryspool::gateway {
 
@@ -99,26 +98,16 @@
   return state_.routes == nullptr ? 0 : state_.routes->configuration().version;
 }
 
-std::vector<std::string> ControlFollower::NamesOfReachable() const {
+bool ControlFollower::is_home(const Node& node) const {
   std::vector<std::string> nodes;
   nodes.reserve(reachable_.size());
   for (const net::Endpoint& endpoint : reachable_) {
     nodes.push_back(endpoint.ToString());
   }
-  return nodes;
-}
-
-bool ControlFollower::is_home(const Node& node) const {
-  const auto ranked =
-      membership::RankByRendezvous(name_, NamesOfReachable(), 1);
+  const auto ranked = membership::RankByRendezvous(name_, std::move(nodes), 1);
   return !ranked.empty() && ranked.front() == node.endpoint.ToString();
 }
 
-bool ControlFollower::tells_versions(const Node& node) const {
-  return traffic::IsToldAtOnce(name_, node.endpoint.ToString(),
-                               NamesOfReachable(), state_.gateways);
-}
-
 // Each node tells of a new configuration at about the same moment. With the
 // text in each answer it would cross the links once for each control node.
 void ControlFollower::Fetch(Node& node) {
@@ -143,13 +132,11 @@
                       ? version_in_force()
                       : std::max(version_in_force(), node.told_version);
   query.wants_configuration = wants_configuration;
-  query.wants_versions = tells_versions(node);
   query.was_leader = node.is_leader;
   query.slow_revision = node.slow_revision;
   // While a text is on its way to another fiber, this one looks again soon, in
   // case it does not arrive.
-  const bool lacks_text =
-      query.wants_versions && node.told_version > version_in_force();
+  const bool lacks_text = node.told_version > version_in_force();
   query.wait = wants_configuration ? Duration::zero()
                : lacks_text        ? kFetchPoll
                                    : traffic::kLongestWatch;
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -58,9 +58,6 @@
   // Of the nodes that this gateway reaches, the one for its own texts; another
   // one for each gateway.
   bool is_home(const Node& node) const;
-  // Whether it tells this gateway of new configurations at once.
-  bool tells_versions(const Node& node) const;
-  std::vector<std::string> NamesOfReachable() const;
   std::uint64_t version_in_force() const;
   void Adopt(Node& node,
              const traffic::WatchAnswer& answer,
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -58,7 +58,6 @@
   query.slow_revision = 4;
   query.wait = Milliseconds(900);
   query.wants_configuration = false;
-  query.wants_versions = false;
   const auto asked = WatchQueryFromJson(ToJson(query));
   REQUIRE(asked.has_value());
   CHECK(asked->asker == "gateway-1");
@@ -69,7 +68,6 @@
   CHECK(asked->was_leader);
   CHECK(asked->slow_revision == 4);
   CHECK_FALSE(asked->wants_configuration);
-  CHECK_FALSE(asked->wants_versions);
   CHECK(asked->wait == Milliseconds(900));
 
   const auto answered =
