--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
 #include "libs/telemetry/metrics.h"
 #include "plugins/control_node/control_node.h"
 #include "plugins/control_node/group_keeper.h"
@@ -125,11 +126,42 @@
         .Set(static_cast<double>(node_.targets().records().size()));
     metrics_.GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
         .Set(node_.replica().is_leader() ? 1.0 : 0.0);
+    for (const auto& [group, figures] : groups_.figures(net::SteadyNow())) {
+      SetGroupMetrics(group, figures);
+    }
     net::HttpResponseHead head;
     head.headers.Add("Content-Type", "text/plain; version=0.0.4");
     exchange.Respond(std::move(head), metrics_.ToPrometheusText());
   }
 
+  void SetGroupMetrics(const GroupId& group, const GroupFigures& figures) {
+    const telemetry::Labels labels = {{"group", group.value()}};
+    metrics_
+        .GaugeFor({"bilberryspool_group_ranks_heard", "Ranks ever heard"},
+                  labels)
+        .Set(static_cast<double>(figures.heard));
+    metrics_
+        .GaugeFor(
+            {"bilberryspool_group_ranks_missing", "Ranks asked in vain lately"},
+            labels)
+        .Set(static_cast<double>(figures.missing));
+    metrics_
+        .GaugeFor({"bilberryspool_group_oldest_sum_seconds",
+                   "Age of the oldest sum of counts among the readers'"},
+                  labels)
+        .Set(ToSeconds(figures.oldest_sum));
+    metrics_
+        .GaugeFor({"bilberryspool_group_last_plan_seconds",
+                   "What the last plan of a map took"},
+                  labels)
+        .Set(ToSeconds(figures.last_plan));
+    metrics_
+        .GaugeFor({"bilberryspool_group_last_tick_seconds",
+                   "Since the group was last looked after"},
+                  labels)
+        .Set(ToSeconds(figures.last_tick));
+  }
+
   const settings::ControlSettings& settings_;
   telemetry::Logger log_;
   telemetry::Registry metrics_;
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -90,6 +90,17 @@
   }
 }
 
+std::map<GroupId, GroupFigures> GroupKeeper::figures(TimePoint now) const {
+  std::map<GroupId, GroupFigures> by_group;
+  if (!node_.replica().is_leader()) {
+    return by_group;
+  }
+  for (const auto& [group, task] : tasks_) {
+    by_group[group] = task->figures(now);
+  }
+  return by_group;
+}
+
 bool GroupKeeper::LacksRanks() const {
   return std::any_of(tasks_.begin(), tasks_.end(), [](const auto& item) {
     return !item.second->has_all_ranks();
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -39,6 +39,8 @@
   // What the control node that leads asks of this one: to read ranks, or to
   // pass an order on to engines.
   void Serve(net::HttpExchange& exchange);
+  // Of the groups that this node looks after; none where it does not lead.
+  std::map<GroupId, GroupFigures> figures(TimePoint now) const;
 
  private:
   // What this node has read of another's targets.
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -157,6 +157,11 @@
   state_step_ = step;
 }
 
+GroupFigures GroupTask::figures(TimePoint now) const {
+  return {silence_.heard(), silence_.Missing(now).size(), OldestSum(now),
+          last_plan_, now - ticked_at_};
+}
+
 // Of the sums of present readers, how long ago the oldest one came.
 Duration GroupTask::OldestSum(TimePoint now) const {
   constexpr Duration kLongReplaced = Seconds(30);
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -29,6 +29,15 @@
 
 namespace bilberryspool::control_node {
 
+// What the leader knows of a group's ranks, and how late that is.
+struct GroupFigures {
+  std::size_t heard = 0;  // ranks that were ever heard
+  std::size_t missing = 0;
+  Duration oldest_sum{};  // of the readers' sums, since it came
+  Duration last_plan{};   // what the last plan took
+  Duration last_tick{};   // since the last tick; due every 25 ms
+};
+
 // Runs in the control loop, while its node leads.
 class GroupTask {
  public:
@@ -65,6 +74,8 @@
   // many times as long as a healthy one they take, and those that do not answer
   // (kMissingPace).
   void AddSlow(std::map<std::string, double>& by_address) const;
+  // For metrics.
+  GroupFigures figures(TimePoint now) const;
 
  private:
   // Calls to ranks that the leader makes at once by itself; more go by way of
@@ -104,12 +115,15 @@
                   const std::vector<std::vector<ExpertIndex>>& experts) const;
   void EndReading(const MapReading& reading);
   // group_task.cc
+  void NotePhase();
   void NoteLateness(TimePoint now);
   void NoteState(TimePoint now);
   Duration OldestSum(TimePoint now) const;
+  // group_task_plan.cc
   void Plan();
   placement::BoundedPlanOptions PlanOptions();
   std::function<void()> PauseBetweenMoves();
+  // group_task_orders.cc
   void SendOrder(const groups::RankOrder& order);
   // Sends orders that are the same for many ranks by way of the nodes that read
   // them; returns the others.
@@ -125,7 +139,6 @@
   EngineCalls::Answer AskForHold(const net::Endpoint& engine,
                                  const net::HttpRequest& request);
   EngineCalls::Patience PatienceFor(const groups::EngineOrder& order) const;
-  void NotePhase();
 
   net::NetworkLoop& loop_;
   EngineCalls& calls_;
@@ -172,6 +185,7 @@
   OrderHelpers helpers_;
   bool is_reading_map_ = false;
   bool is_planning_ = false;
+  Duration last_plan_{};
   std::uint32_t calling_ = 0;
 };
 
--- a/src/plugins/sidecar/engine_reader.h
+++ b/src/plugins/sidecar/engine_reader.h
@@ -3,6 +3,9 @@
 #ifndef PLUGINS_SIDECAR_ENGINE_READER_H_
 #define PLUGINS_SIDECAR_ENGINE_READER_H_
 
+#include <optional>
+#include <string>
+
 #include "libs/net/endpoint.h"
 #include "libs/net/http_client.h"
 #include "libs/net/http_server.h"
