A reader begins anew where a group's engines have other experts

Symptom: after engines are replaced by ones with another number of experts, the leader gets no counts and the map stays. Cause: sums kept the first size and left out all growth.

--- a/src/plugins/control_node/rank_rounds.cc
+++ b/src/plugins/control_node/rank_rounds.cc
@@ -62,6 +62,11 @@
 RankRounds::Group& RankRounds::GroupOf(const groups::RoundQuestion& question,
                                        TimePoint now) {
   auto found = groups_.find(question.group);
+  // Its engines may have been replaced by ones with other experts.
+  if (found != groups_.end() && found->second.counters != question.counters) {
+    groups_.erase(found);
+    found = groups_.end();
+  }
   if (found == groups_.end()) {
     placement::PickWorkOptions work;
     work.read_work = question.read_work;
@@ -70,7 +75,8 @@
     found =
         groups_
             .emplace(question.group,
-                     Group{placement::PickSums(work, question.counters, first),
+                     Group{question.counters,
+                           placement::PickSums(work, question.counters, first),
                            {},
                            now})
             .first;
--- a/src/plugins/control_node/rank_rounds.h
+++ b/src/plugins/control_node/rank_rounds.h
@@ -4,6 +4,7 @@
 #ifndef PLUGINS_CONTROL_NODE_RANK_ROUNDS_H_
 #define PLUGINS_CONTROL_NODE_RANK_ROUNDS_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,6 +44,7 @@
     bool is_asked = false;
   };
   struct Group {
+    std::uint32_t counters = 0;
     placement::PickSums sums;
     std::map<RankIndex, Mark> marks;
     TimePoint asked_at;
--- a/tests/auto/control_node/rank_rounds_test.cc
+++ b/tests/auto/control_node/rank_rounds_test.cc
@@ -84,8 +84,9 @@
     spreader_ = std::make_unique<OrderSpreader>(loop_, *calls_);
   }
 
-  groups::RoundAnswer Read(placement::ReadingMark mark) {
-    groups::RoundQuestion question{kGroup, mark, 1.0, 1, Addresses()};
+  groups::RoundAnswer Read(placement::ReadingMark mark,
+                           std::uint32_t counters = 1) {
+    groups::RoundQuestion question{kGroup, mark, 1.0, counters, Addresses()};
     return rounds_->Read(question);
   }
   groups::WideAnswer Spread(const std::string& body) {
@@ -213,6 +214,23 @@
   });
 }
 
+// Symptom: a group keeps its first map for good. Sequence: its engines are
+// replaced by ones with other experts under the same name. Cause: the reader
+// went on with sums of the former size, and left out all growth.
+TEST_CASE("a group whose engines have other experts begins anew") {
+  WithWorld([](World& world) {
+    placement::ReadingMark mark = world.Read({}, 7).mark;
+    double work = 0.0;
+    for (int i = 0; i < kMostTries && work == 0.0; ++i) {
+      ++world.engine(0).step;
+      const groups::RoundAnswer answer = world.Read(mark);
+      mark = answer.mark;
+      work = std::accumulate(answer.work.begin(), answer.work.end(), work);
+    }
+    CHECK(work > 0.0);
+  });
+}
+
 // Symptom: one frozen VM and the leader hears of none of that domain's ranks.
 // Cause: the answer waited for all of them.
 TEST_CASE("a silent rank holds a round up for its patience alone") {
