--- a/src/libs/groups/round_codec.h
+++ b/src/libs/groups/round_codec.h
@@ -1,7 +1,7 @@
 // Bytes of what ranks and their readers tell, for links within the system.
 //
-// Binary: as text the counts of one rank of 3,840 experts took 25 KB and more
-// processor time to read than all else that the leader did.
+// Binary: as text the counts of thousands of experts take a small control node
+// more processor time to read than all else that it does.
 
 #ifndef LIBS_GROUPS_ROUND_CODEC_H_
 #define LIBS_GROUPS_ROUND_CODEC_H_
--- a/src/plugins/control_node/order_spreader.h
+++ b/src/plugins/control_node/order_spreader.h
@@ -1,9 +1,8 @@
 // Passes one order on to several ranks of a group, all at once.
 //
-// A new map is 25 KB as text. Sent by the leader to each of 192 ranks it filled
-// the leader's link for 0.2 s, during which all its other calls timed out.
-// Spread by the control nodes near the ranks it leaves the leader a few times,
-// and packed.
+// A new map is long. Sent by the leader to each of hundreds of ranks it fills
+// the leader's link, and all its other calls time out meanwhile. Spread by the
+// control nodes near the ranks it leaves the leader a few times, and packed.
 
 #ifndef PLUGINS_CONTROL_NODE_ORDER_SPREADER_H_
 #define PLUGINS_CONTROL_NODE_ORDER_SPREADER_H_
