A request's line names its content, and which targets ended under it

Nor could they tell a target that had ended from a connection that a stalled rank cut off.

`content` is a digest of caller, method, host, path and body, made in one place (libs/quarantine). Where a connection breaks, the gateway opens one to the same address: refused means that the target has ended (`ended`), anything else that it goes on. A refusal's line names the target that is at fault where the refusing one tells it (`at=ID`).

No decision changes.

--- /dev/null
+++ b/src/libs/quarantine/request_fingerprint.cc
@@ -0,0 +1,76 @@
+#include "libs/quarantine/request_fingerprint.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <charconv>
+
+namespace bilberryspool::quarantine {
+
+namespace {
+
+constexpr std::size_t kDigitsOfHalf = 16;
+constexpr int kHexadecimal = 16;
+
+std::string HalfToText(std::uint64_t half) {
+  std::array<char, kDigitsOfHalf> digits{};
+  const auto written = std::to_chars(
+      digits.data(), digits.data() + digits.size(), half, kHexadecimal);
+  const std::string text(digits.data(), written.ptr);
+  return std::string(kDigitsOfHalf - text.size(), '0') + text;
+}
+
+std::optional<std::uint64_t> HalfFromText(std::string_view text) {
+  std::uint64_t half = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, half, kHexadecimal);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return half;
+}
+
+// Each part after its length, so that no two lists of parts are the same bytes.
+void Add(crypto_generichash_state& state, std::string_view part) {
+  const std::uint64_t length = part.size();
+  crypto_generichash_update(
+      &state, reinterpret_cast<const unsigned char*>(&length), sizeof(length));
+  crypto_generichash_update(
+      &state, reinterpret_cast<const unsigned char*>(part.data()), part.size());
+}
+
+}  // namespace
+
+std::string RequestFingerprint::ToText() const {
+  return HalfToText(high) + HalfToText(low);
+}
+
+std::optional<RequestFingerprint> RequestFingerprint::FromText(
+    std::string_view text) {
+  if (text.size() != 2 * kDigitsOfHalf) {
+    return std::nullopt;
+  }
+  const auto high = HalfFromText(text.substr(0, kDigitsOfHalf));
+  const auto low = HalfFromText(text.substr(kDigitsOfHalf));
+  if (!high.has_value() || !low.has_value()) {
+    return std::nullopt;
+  }
+  return RequestFingerprint{*high, *low};
+}
+
+RequestFingerprint FingerprintOf(const RequestIdentity& identity) {
+  constexpr std::size_t kBytes = 2 * sizeof(std::uint64_t);
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, kBytes);
+  Add(state, identity.workspace.value());
+  Add(state, identity.method);
+  Add(state, identity.host);
+  Add(state, identity.target);
+  Add(state, identity.body);
+  std::array<std::uint64_t, 2> halves{};
+  crypto_generichash_final(
+      &state, reinterpret_cast<unsigned char*>(halves.data()), kBytes);
+  return {halves[0], halves[1]};
+}
+
+}  // namespace bilberryspool::quarantine
--- a/src/libs/traffic/wire_dialect.h
+++ b/src/libs/traffic/wire_dialect.h
@@ -33,6 +33,8 @@
   std::string signature;
   // From a target: "RUNNING,WAITING,SLOTS".
   std::string load;
+  // From a target that refuses: the one that is at fault, where it knows.
+  std::string at_fault;
 };
 
 // Reads a whole configuration as the operator sends it; a sentence that says
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "libs/traffic/wire_dialect.h"
 #include "plugins/gateway/request_figures.h"
 #include "plugins/gateway/request_trace.h"
+#include "plugins/gateway/target_ends.h"
 
 namespace bilberryspool::gateway {
 
@@ -44,6 +45,7 @@
   std::shared_ptr<const traffic::RouteTable> routes;
   traffic::TargetPool targets;
   net::HttpClient client;
+  TargetEnds ends;
   Random random;
   // Wakes those who wait for something that control nodes tell.
   net::FiberSignal news;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -78,9 +78,23 @@
       arrived_ + std::min(match_.route->timeout,
                           head_.patience.value_or(match_.route->timeout));
   service_ = traffic::ChooseService(*match_.route, state_.random.Fraction());
+  fingerprint_ = Fingerprint();
   return true;
 }
 
+quarantine::RequestFingerprint RelayCall::Fingerprint() const {
+  const net::HttpRequest& request = exchange_.request();
+  quarantine::RequestIdentity identity;
+  if (match_.holder != nullptr) {
+    identity.workspace = match_.holder->workspace;
+  }
+  identity.method = request.method;
+  identity.host = head_.host;
+  identity.target = request.target;
+  identity.body = request.body;
+  return quarantine::FingerprintOf(identity);
+}
+
 void RelayCall::Relay() {
   state_.BudgetOf(service_).OnFirstAttempt(Workspace(), arrived_);
   while (true) {
@@ -247,11 +261,20 @@
   }
   EndAt(choice, TargetOutcome::kFailed);
   const bool is_unsent = error.kind == net::HttpErrorKind::kConnect;
+  const bool has_ended = HasEnded(choice, error.kind);
   trail_ += is_unsent ? " unreachable" : " no_head:" + error.text;
+  trail_ += has_ended ? " ended" : "";
   return NotServed{is_unsent ? SendResult::kNotSent : SendResult::kUnknown,
                    error.text};
 }
 
+bool RelayCall::HasEnded(const traffic::Choice& choice,
+                         net::HttpErrorKind kind) {
+  const auto endpoint = net::ParseEndpoint(choice.address);
+  return kind == net::HttpErrorKind::kClosed && endpoint.has_value() &&
+         state_.ends.HasEnded(choice.target, *endpoint);
+}
+
 // Answered{} stands for a head that is fit to be followed by its body.
 RelayCall::SendOutcome RelayCall::JudgeHead(const traffic::Choice& choice,
                                             const net::HttpResponseHead& head) {
@@ -269,6 +292,9 @@
     EndAt(choice,
           is_replaced ? TargetOutcome::kReplaced : TargetOutcome::kFull);
     trail_ += " not_executed";
+    if (const auto at_fault = head.headers.Find(dialect.at_fault)) {
+      trail_ += " at=" + std::string(*at_fault);
+    }
     return NotServed{SendResult::kNotExecuted, "target refused"};
   }
   const auto id = head.headers.Find(dialect.request_id);
@@ -408,6 +434,7 @@
        {"why", why},
        {"route", match_.route == nullptr ? "" : match_.route->name},
        {"service", service_.value()},
+       {"content", fingerprint_.ToText()},
        {"sends", sends_},
        {"trail", trail_},
        {"version", routes_ == nullptr ? 0 : routes_->configuration().version},
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -12,6 +12,7 @@
 
 #include "libs/net/cancellation.h"
 #include "libs/net/http_server.h"
+#include "libs/quarantine/request_fingerprint.h"
 #include "libs/traffic/event_splitter.h"
 #include "libs/traffic/relay_rules.h"
 #include "plugins/gateway/gateway_state.h"
@@ -46,6 +47,7 @@
 
   // relay_call.cc
   bool Admit();
+  quarantine::RequestFingerprint Fingerprint() const;
   void Relay();
   bool AwaitGroup();
   traffic::RelayStep StepAfter(const NotServed& failed);
@@ -54,6 +56,8 @@
                    const net::Endpoint& endpoint,
                    const ForwardedHead& forwarded);
   SendOutcome Judge(const traffic::Choice& choice, const net::HttpError& error);
+  // Whether the target has ended, whose connection broke.
+  bool HasEnded(const traffic::Choice& choice, net::HttpErrorKind kind);
   SendOutcome JudgeHead(const traffic::Choice& choice,
                         const net::HttpResponseHead& head);
   SendOutcome TakeWhole(const traffic::Choice& choice,
@@ -90,6 +94,8 @@
   std::shared_ptr<const traffic::RouteTable> routes_;
   traffic::RouteMatch match_;
   ServiceId service_;
+  // Which request it is, whatever its id.
+  quarantine::RequestFingerprint fingerprint_;
   std::set<TargetId> tried_;
   std::uint32_t sends_ = 0;
   bool may_have_run_ = false;
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -38,6 +38,7 @@
   if (!splitter_.unfinished().empty() || !has_begun_) {
     EndAt(choice, TargetOutcome::kFailed);
     trail_ += " torn";
+    trail_ += HasEnded(choice, net::HttpErrorKind::kClosed) ? " ended" : "";
     return NotServed{SendResult::kUnknown, "the stream ended in an event"};
   }
   EndAt(choice, TargetOutcome::kGood);
