Failing test: a request that ends its targets is sent on and on

Two gateways, six targets that end 20 ms after they began to run a marked body and are back a second later. The request is repeated at both gateways, one of which is killed and started again meanwhile. On this code it is sent on without a bound: each id ends up to two more targets (trails with two `ended`, from 0.1 s after the first to the end of the test).

--- /dev/null
+++ b/tests/processes/platform/ending_request_test.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Guards against a request that ends each target that runs it being sent on and
+# on: callers repeat it at two gateways, through a gateway's restart, and what
+# others ask for meanwhile must be served.
+. "$(dirname "$0")/deployment_on_platform.sh"
+
+TARGETS="0 1 2 3 4 5"
+supervise() { # N: starts a target again a second after it has ended
+  local n="$1" boot=0 child=0
+  trap 'kill -KILL "$child" 2> /dev/null; exit 0' TERM
+  while :; do
+    boot=$((boot + 1))
+    "$BIN/platform_standin" --listen=127.0.0.9 --first_port="$((${P}70 + n))" --count=1 \
+      --boot="-$n-$boot" --ends_on=ends-its-target --record="$RUN/ends" \
+      --control="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10" &
+    child=$!
+    wait "$child"
+    sleep 1
+  done
+}
+end_supervised() {
+  local n
+  for n in $TARGETS; do kill -TERM "${PIDS[target-$n]}" 2> /dev/null; done
+  end_all
+}
+trap end_supervised EXIT
+
+for i in $CONTROLS; do start_control "$i"; done
+for i in $GATEWAYS; do start_gateway "$i"; done
+: > "$RUN/ends"
+for n in $TARGETS; do start "target-$n" supervise "$n"; done
+wait_until "the configuration is accepted" is_accepted 2 3 a
+for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
+for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+
+ends() { wc -l < "$RUN/ends"; }
+COUNT=0
+repeat_request() { # GATEWAY
+  COUNT=$((COUNT + 1))
+  call "$1" /again/x "again-$COUNT" -d "order ends-its-target" -o /dev/null -w '%{http_code}\n' >> "$RUN/answers"
+}
+has_ended_three() { repeat_request 1; repeat_request 2; [ "$(ends)" -ge 3 ]; }
+wait_until "three targets have ended" has_ended_three
+AT_THREE="$(ends)"
+for round in 1 2 3 4 5 6 7 8; do
+  repeat_request 1
+  repeat_request 2
+  if [ "$round" = 4 ]; then
+    kill_hard gateway-2
+    start_gateway 2
+    wait_until "gateway 2 is ready again" is_serving 2
+  fi
+  sleep 0.5
+done
+LATER=$(($(ends) - AT_THREE))
+[ "$LATER" -le 3 ] || fail "a request that had ended $AT_THREE targets ended $LATER more"
+expect "the answer to one that is held back" 400 "$(tail -n 1 "$RUN/answers")"
+
+# Another body on the same path, and the same body of another caller, are others.
+expect "another body" 200 "$(call 1 /again/x other-1 -d "order" -o /dev/null -w '%{http_code}')"
+echo "passed"
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -4,6 +4,7 @@
 
 #include <gflags/gflags.h>
 
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -21,6 +22,9 @@
 DEFINE_string(service, "model", "their service");
 DEFINE_string(control, "", "control nodes, IP:PORT, separated by commas");
 DEFINE_int32(event_ms, 20, "pause between the events of a stream");
+DEFINE_string(boot, "", "what tells the ids of this start from earlier ones");
+DEFINE_string(ends_on, "", "the process ends when it runs a body with this");
+DEFINE_string(record, "", "file that gets a line for each run of such a body");
 
 namespace bilberryspool {
 namespace {
@@ -45,7 +49,7 @@
  public:
   Target(net::NetworkLoop& loop, int number)
       : loop_(loop),
-        id_("i-" + std::to_string(number)),
+        id_("i-" + std::to_string(number) + FLAGS_boot),
         endpoint_{FLAGS_listen,
                   static_cast<std::uint16_t>(FLAGS_first_port + number)},
         control_(ReadEndpoints(FLAGS_control)),
@@ -124,8 +128,20 @@
     Run(exchange);
   }
 
+  // As an engine that crashes a moment after it began to run the request.
+  void End() {
+    constexpr Duration kUntilEnd = Milliseconds(20);
+    std::ofstream(FLAGS_record, std::ios::app) << id_ << "\n";
+    loop_.SleepFor(kUntilEnd);
+    std::_Exit(1);
+  }
+
   void Run(net::HttpExchange& exchange) {
     const net::HttpRequest& request = exchange.request();
+    if (!FLAGS_ends_on.empty() &&
+        request.body.find(FLAGS_ends_on) != std::string::npos) {
+      End();
+    }
     ++runs_[std::string(
         request.headers.ValueOr("Bilberryspool-Attempt-Id", "none"))];
     if (request.headers.Find("Api-Key").has_value()) {
