--- a/src/libs/traffic/json_reading.h
+++ b/src/libs/base/json_reading.h
@@ -1,7 +1,7 @@
 // Reads the members of a JSON object, each with its type.
 
-#ifndef LIBS_TRAFFIC_JSON_READING_H_
-#define LIBS_TRAFFIC_JSON_READING_H_
+#ifndef LIBS_BASE_JSON_READING_H_
+#define LIBS_BASE_JSON_READING_H_
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <utility>
 
-namespace bilberryspool::traffic {
+namespace bilberryspool::json_reading {
 
 // Nothing where `text` is no whole JSON object.
 inline std::optional<boost::json::object> ParseObject(std::string_view text) {
@@ -74,6 +74,6 @@
   return value == nullptr ? nullptr : value->if_array();
 }
 
-}  // namespace bilberryspool::traffic
+}  // namespace bilberryspool::json_reading
 
-#endif  // LIBS_TRAFFIC_JSON_READING_H_
+#endif  // LIBS_BASE_JSON_READING_H_
--- /dev/null
+++ b/src/libs/quarantine/quarantine_book.h
@@ -0,0 +1,137 @@
+// Which requests end the targets that run them.
+//
+// Such a request takes every target that it is sent to, and with one rank all
+// others of its group. A target carries other requests when it ends, which are
+// no cause of it, and targets end for other reasons. Only runs tell them apart:
+// the request that ends its targets never completes, and ends one each time.
+//
+// A request that a target ended under therefore runs one at a time in the whole
+// deployment, until it completes, or has ended too many and some of them as its
+// only run. Then it is refused for a while, longer each time, and tried
+// again by a single run. A completion of the same request, at any gateway,
+// clears it, also of what comes soon after: a popular request runs at many
+// targets when they end for another reason.
+//
+// Pure: events and `now` in, decisions out.
+
+#ifndef LIBS_QUARANTINE_QUARANTINE_BOOK_H_
+#define LIBS_QUARANTINE_QUARANTINE_BOOK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/base/time.h"
+#include "libs/quarantine/quarantine_record.h"
+
+namespace bilberryspool::quarantine {
+
+struct QuarantineOptions {
+  // Ends after which a request is refused.
+  std::uint32_t ends_to_refuse = 3;
+  // So many of them by a run that had leave: where targets end by the second,
+  // one such run may end with its target by chance.
+  std::uint32_t proofs_to_refuse = 2;
+  // Targets that end within this time may do so for one cause, such as a rack
+  // without power, which says less of each request that was there.
+  Duration one_cause = Seconds(1);
+  std::uint32_t most_of_one_cause = 2;
+  // A completion clears of ends up to so much later.
+  Duration alibi = Seconds(20);
+  // The first refusal and the longest; each is twice as long as the last.
+  Duration first_quarantine = Seconds(120);
+  Duration longest_quarantine = Seconds(3600);
+  // A run that was allowed counts as under way for so long at most.
+  Duration longest_trial = Seconds(10);
+  // Without a further end a request is forgotten after this time.
+  Duration memory = Seconds(600);
+  // Bounds memory; those that are not refused go first, oldest end first.
+  std::size_t max_entries = 4096;
+  // Most that are told to gateways; those that are refused come first.
+  std::size_t max_told = 256;
+};
+
+class QuarantineBook {
+ public:
+  explicit QuarantineBook(QuarantineOptions options) : options_(options) {}
+
+  // A target ended while it ran the request. Told by several gateways, or
+  // twice by one, it counts once. Returns whether that changed the verdict.
+  bool OnEnd(const EndObserved& end, TimePoint now);
+  // The request has had a whole answer from a target that went on.
+  bool OnCompleted(const CompletionObserved& completion, TimePoint now);
+  void OnTrialOver(const TrialOver& over);
+  // What another control node holds against a request.
+  void Adopt(const QuarantineRecord& record, TimePoint now);
+  // An operator lets the request pass; ends from now on count. False where
+  // nothing is held against it.
+  bool OnReleased(const ReleaseOrdered& release, TimePoint now);
+  // Forgets, and lets quarantines end.
+  void Tick(TimePoint now);
+
+  Verdict VerdictOf(const RequestFingerprint& request, TimePoint now) const;
+  // Whether `asker` may run the request now. While that run is under way no
+  // other is allowed; a request that was refused is so again unless it
+  // completes.
+  bool TryTrial(const RequestFingerprint& request,
+                const std::string& asker,
+                TimePoint now);
+
+  std::optional<QuarantineRecord> RecordOf(const RequestFingerprint& request,
+                                           TimePoint now) const;
+  // What gateways have to know, strictest first.
+  std::vector<QuarantineRecord> Told(TimePoint now) const;
+  // Grows with each change of Told().
+  std::uint64_t revision() const { return revision_; }
+  std::size_t size() const { return entries_.size(); }
+  // All ends that count, as they were observed.
+  std::vector<EndObserved> Ends(TimePoint now) const;
+  // When the request last had an end; nothing where it had none.
+  std::optional<TimePoint> LastEndOf(const RequestFingerprint& request) const;
+
+ private:
+  struct Entry {
+    ServiceId service;
+    struct End {
+      TimePoint at;
+      bool had_leave = false;
+    };
+    std::map<TargetRun, End> ends;
+    // What another node counted.
+    std::uint32_t adopted_ends = 0;
+    TimePoint first_end;
+    TimePoint last_end;
+    // Ends before this don't count.
+    TimePoint cleared_until;
+    TimePoint refused_until;
+    std::uint32_t quarantines = 0;
+    // The run that is allowed.
+    std::string asker;
+    TimePoint trial_until;
+  };
+  using Entries =
+      std::unordered_map<RequestFingerprint, Entry, RequestFingerprintHash>;
+
+  std::uint32_t CountEnds(const Entry& entry) const;
+  bool IsProven(const Entry& entry) const;
+  Verdict VerdictOf(const Entry& entry, TimePoint now) const;
+  QuarantineRecord ToRecord(const RequestFingerprint& request,
+                            const Entry& entry,
+                            TimePoint now) const;
+  // Whether that changed the verdict.
+  bool Clear(Entry& entry, TimePoint until, TimePoint now);
+  void Refuse(Entry& entry, TimePoint now);
+  void MakeRoom();
+
+  QuarantineOptions options_;
+  Entries entries_;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace bilberryspool::quarantine
+
+#endif  // LIBS_QUARANTINE_QUARANTINE_BOOK_H_
--- /dev/null
+++ b/src/libs/quarantine/quarantine_view.h
@@ -0,0 +1,95 @@
+// What a gateway holds against requests: what control nodes tell, and what it
+// has seen itself.
+//
+// Pure: events and `now` in, decisions out.
+
+#ifndef LIBS_QUARANTINE_QUARANTINE_VIEW_H_
+#define LIBS_QUARANTINE_QUARANTINE_VIEW_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/time.h"
+#include "libs/quarantine/quarantine_book.h"
+#include "libs/quarantine/quarantine_record.h"
+#include "libs/quarantine/recent_completions.h"
+
+namespace bilberryspool::quarantine {
+
+struct QuarantineViewOptions {
+  QuarantineOptions own;
+  // What the gateway saw itself holds beside what control nodes tell until
+  // they must have heard of it.
+  Duration own_counts = Seconds(2);
+  std::size_t max_completions = 2048;
+};
+
+// The verdict, and what it rests on.
+struct Judgement {
+  Verdict verdict = Verdict::kFree;
+  std::uint32_t ends = 0;
+  Duration since{};
+  Duration remaining{};
+  // The control node that told it; empty: seen by this gateway.
+  std::string source;
+  // Since the source told it.
+  Duration age{};
+};
+
+class QuarantineView {
+ public:
+  explicit QuarantineView(QuarantineViewOptions options)
+      : options_(options),
+        own_(options.own),
+        completions_(options.max_completions) {}
+
+  // All that the control node `source` tells. Returns the completions that
+  // clear requests of it, which the control nodes have to hear of.
+  std::vector<CompletionObserved> Adopt(
+      const std::string& source,
+      const std::vector<QuarantineRecord>& records,
+      TimePoint now);
+  // What is told by nodes that can't be reached counts only where none can.
+  void SetReachable(const std::string& source, bool is_reachable);
+
+  void OnEnd(const EndObserved& end, TimePoint now) { own_.OnEnd(end, now); }
+  // Returns whether it clears the request of something.
+  bool OnCompleted(const RequestFingerprint& request, TimePoint now);
+
+  Judgement Judge(const RequestFingerprint& request, TimePoint now) const;
+  // Leave to run the request where no control node can be asked.
+  bool TryTrial(const RequestFingerprint& request,
+                const std::string& asker,
+                TimePoint now) {
+    return own_.TryTrial(request, asker, now);
+  }
+  void OnTrialOver(const TrialOver& over) { own_.OnTrialOver(over); }
+  void Tick(TimePoint now) { own_.Tick(now); }
+  // What this gateway has seen, for a control node that has started anew.
+  std::vector<EndObserved> OwnEnds(TimePoint now) const {
+    return own_.Ends(now);
+  }
+  std::vector<Observation> OwnEndsOf(const RequestFingerprint& request,
+                                     TimePoint now) const;
+  bool any_reachable() const;
+
+ private:
+  struct Source {
+    bool is_reachable = true;
+    TimePoint told_at;
+    std::map<RequestFingerprint, QuarantineRecord> records;
+  };
+
+  bool HasAlibi(const RequestFingerprint& request, TimePoint now) const;
+
+  QuarantineViewOptions options_;
+  QuarantineBook own_;
+  RecentCompletions completions_;
+  std::map<std::string, Source> sources_;
+};
+
+}  // namespace bilberryspool::quarantine
+
+#endif  // LIBS_QUARANTINE_QUARANTINE_VIEW_H_
--- /dev/null
+++ b/src/libs/quarantine/recent_completions.h
@@ -0,0 +1,41 @@
+// The requests that lately had a whole answer from a target that went on.
+//
+// Pure: events and `now` in, answers out.
+
+#ifndef LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
+#define LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
+
+#include <cstddef>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "libs/base/time.h"
+#include "libs/quarantine/request_fingerprint.h"
+
+namespace bilberryspool::quarantine {
+
+class RecentCompletions {
+ public:
+  // Keeps the `capacity` newest requests.
+  explicit RecentCompletions(std::size_t capacity) : capacity_(capacity) {}
+
+  void Note(const RequestFingerprint& request, TimePoint now);
+  // When it last completed, where that is known.
+  std::optional<TimePoint> Find(const RequestFingerprint& request) const;
+
+ private:
+  using Item = std::pair<RequestFingerprint, TimePoint>;
+
+  std::size_t capacity_;
+  std::list<Item> newest_first_;
+  std::unordered_map<RequestFingerprint,
+                     std::list<Item>::iterator,
+                     RequestFingerprintHash>
+      by_request_;
+};
+
+}  // namespace bilberryspool::quarantine
+
+#endif  // LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
--- a/src/libs/traffic/target_codec.cc
+++ b/src/libs/traffic/target_codec.cc
@@ -5,11 +5,14 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "libs/traffic/json_reading.h"
+#include "libs/base/json_reading.h"
 
 namespace bilberryspool::traffic {
 
 namespace json = boost::json;
+using json_reading::Flag;
+using json_reading::Number;
+using json_reading::Text;
 
 namespace {
 
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -242,8 +242,9 @@
   Target& chosen = *best.target;
   ++chosen.in_flight;
   hearing_.OnSent(chosen.announcement.target, service, now);
-  return Choice{chosen.announcement.target, chosen.announcement.address,
-                best.load, chosen.announcement.slots};
+  return Choice{chosen.announcement.target, chosen.announcement.incarnation,
+                chosen.announcement.address, best.load,
+                chosen.announcement.slots};
 }
 
 void TargetPool::OnEnded(const TargetId& id,
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -59,6 +59,7 @@
 
 struct Choice {
   TargetId target;
+  Incarnation incarnation;
   std::string address;
   // What decided: requests thought to be there, and of how many slots.
   double load = 0.0;
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -3,11 +3,17 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include "libs/traffic/json_reading.h"
+#include "libs/base/json_reading.h"
+#include "libs/quarantine/quarantine_codec.h"
 
 namespace bilberryspool::traffic {
 
 namespace json = boost::json;
+using json_reading::Decimal;
+using json_reading::Flag;
+using json_reading::List;
+using json_reading::Number;
+using json_reading::Text;
 
 json::value ToJson(const WatchQuery& query) {
   return json::object{{"asker", query.asker},
@@ -17,6 +23,7 @@
                       {"version", query.version},
                       {"was_leader", query.was_leader},
                       {"slow_revision", query.slow_revision},
+                      {"quarantine_revision", query.quarantine_revision},
                       {"wants_configuration", query.wants_configuration},
                       {"wait_us", query.wait.count()}};
 }
@@ -37,10 +44,14 @@
                       {"leader", answer.is_leader},
                       {"slow_revision", answer.slow_revision},
                       {"slow", std::move(slow)},
+                      {"quarantine_revision", answer.quarantine_revision},
                       {"whole", answer.is_whole},
                       {"targets", answer.targets.value},
                       {"gateways", answer.gateways},
                       {"members", std::move(members)}};
+  if (answer.quarantine.has_value()) {
+    object["quarantine"] = quarantine::ToJson(*answer.quarantine);
+  }
   if (answer.configuration.has_value()) {
     object["configuration"] = answer.configuration->value;
   }
@@ -59,10 +70,12 @@
   const auto version = Number(*object, "version");
   const auto was_leader = Flag(*object, "was_leader");
   const auto slow_revision = Number(*object, "slow_revision");
+  const auto quarantine_revision = Number(*object, "quarantine_revision");
   const auto wants_configuration = Flag(*object, "wants_configuration");
   const auto wait = Number(*object, "wait_us");
   if (!asker || !control_address || !boot || !revision || !version ||
-      !was_leader || !slow_revision || !wants_configuration || !wait) {
+      !was_leader || !slow_revision || !quarantine_revision ||
+      !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -73,6 +86,7 @@
   query.version = *version;
   query.was_leader = *was_leader;
   query.slow_revision = *slow_revision;
+  query.quarantine_revision = *quarantine_revision;
   query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
   return query;
@@ -90,13 +104,14 @@
   const auto is_leader = Flag(*object, "leader");
   const auto is_whole = Flag(*object, "whole");
   const auto slow_revision = Number(*object, "slow_revision");
+  const auto quarantine_revision = Number(*object, "quarantine_revision");
   const auto gateways = Number(*object, "gateways");
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
-      !slow_revision || !gateways || !targets || members == nullptr ||
-      slow == nullptr || !slow->is_object()) {
+      !slow_revision || !quarantine_revision || !gateways || !targets ||
+      members == nullptr || slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
   WatchAnswer answer;
@@ -106,6 +121,13 @@
   answer.bytes = *bytes;
   answer.is_leader = *is_leader;
   answer.slow_revision = *slow_revision;
+  answer.quarantine_revision = *quarantine_revision;
+  if (const json::value* records = object->if_contains("quarantine")) {
+    answer.quarantine = quarantine::RecordsFromJson(*records);
+    if (!answer.quarantine.has_value()) {
+      return std::nullopt;
+    }
+  }
   answer.gateways = *gateways;
   answer.is_whole = *is_whole;
   if (auto text = Text(*object, "configuration")) {
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -12,6 +12,7 @@
 
 #include "libs/base/time.h"
 #include "libs/packing/packed_text.h"
+#include "libs/quarantine/quarantine_record.h"
 #include "libs/traffic/target_book.h"
 
 namespace bilberryspool::traffic {
@@ -31,6 +32,7 @@
   std::uint64_t version = 0;   // of the configuration
   bool was_leader = false;
   std::uint64_t slow_revision = 0;  // of the slow targets
+  std::uint64_t quarantine_revision = 0;
   // Whether a newer configuration is wanted with the answer, or only its
   // number: all control nodes have the same one, which may be large.
   bool wants_configuration = true;
@@ -57,6 +59,10 @@
   // How many times as long as healthy ones targets take, by address; those that
   // the leader has found slow.
   std::map<std::string, double> slow_targets;
+  std::uint64_t quarantine_revision = 0;
+  // Requests that end targets, all that are known; only where the asker's
+  // revision is another one.
+  std::optional<std::vector<quarantine::QuarantineRecord>> quarantine;
   // Only where it is newer than the gateway's, and wanted.
   std::optional<packing::PackedText> configuration;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -9,6 +9,7 @@
 #include "libs/base/overloaded.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
+#include "libs/quarantine/quarantine_codec.h"
 #include "libs/traffic/target_codec.h"
 
 namespace bilberryspool::control_node {
@@ -95,6 +96,7 @@
 
 void ControlNode::Register(links::LinkServer& server) {
   replica_.Register(server);
+  quarantine_.Register(server);
   server.Register("control.submit",
                   [this](const Json& params) { return OnSubmit(params); });
   server.Register("control.read", [this](const Json&) { return OnRead(); });
@@ -117,6 +119,7 @@
 void ControlNode::Tick() {
   while (true) {
     loop_.SleepFor(kTickInterval);
+    quarantine_.Tick(SteadyNow());
     if (targets_.Tick(SteadyNow())) {
       log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
       changed_.NotifyAll();
@@ -371,14 +374,16 @@
 // where this node dies the moment after. So the others are told beside the
 // gateways; they need not answer, since a cut would hold up the target.
 void ControlNode::Spread(const traffic::TargetRecord& record) {
-  const Json params = traffic::ToJson(record);
+  TellPeers("control.target", traffic::ToJson(record));
+}
+
+void ControlNode::TellPeers(const std::string& method, const Json& params) {
   for (const net::Endpoint& peer : FindNodes()) {
     if (peer.ToString() == replica_.self().value()) {
       continue;
     }
-    loop_.Spawn([this, peer, params] {
-      const auto result =
-          client_.Call(peer, "control.target", params, kSpreadPatience);
+    loop_.Spawn([this, peer, method, params] {
+      const auto result = client_.Call(peer, method, params, kSpreadPatience);
       if (std::holds_alternative<links::LinkError>(result)) {
         client_.DropIdle(peer);
       }
@@ -386,6 +391,15 @@
   }
 }
 
+bool ControlNode::ReleaseRequest(
+    const quarantine::RequestFingerprint& request) {
+  const bool was_held = quarantine_.Release(request, SteadyNow());
+  const std::vector<quarantine::Observation> release = {
+      quarantine::ReleaseOrdered{request, Duration::zero()}};
+  TellPeers("quarantine.report", quarantine::ToJson(release));
+  return was_held;
+}
+
 std::optional<ControlNode::Json> ControlNode::OnTarget(const Json& params) {
   const auto record = traffic::TargetRecordFromJson(params);
   if (!record.has_value()) {
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -21,6 +21,7 @@
 #include "libs/telemetry/log.h"
 #include "libs/traffic/target_book.h"
 #include "libs/traffic/wire_dialect.h"
+#include "plugins/control_node/quarantine_keeper.h"
 #include "plugins/control_node/replica_host.h"
 
 namespace bilberryspool::control_node {
@@ -86,6 +87,10 @@
     return configuration_;
   }
   const traffic::TargetBook& targets() const { return targets_; }
+  QuarantineKeeper& quarantine() { return quarantine_; }
+  // Lets a request pass here, and tells the other control nodes. False where
+  // nothing is held against it here.
+  bool ReleaseRequest(const quarantine::RequestFingerprint& request);
   ReplicaHost& replica() { return replica_; }
   const ReplicaHost& replica() const { return replica_; }
   // Wakes when the configuration or a target changes.
@@ -112,6 +117,7 @@
   std::optional<Json> OnTarget(const Json& params);
   // Tells the other control nodes that a target leaves.
   void Spread(const traffic::TargetRecord& record);
+  void TellPeers(const std::string& method, const Json& params);
   void LogSlowTargets(const std::map<std::string, double>& by_address);
   void Tick();
 
@@ -129,6 +135,7 @@
   std::uint64_t unreadable_ = 0;
   TimePoint unreadable_logged_at_;
   net::FiberSignal changed_;
+  QuarantineKeeper quarantine_{changed_};
   std::uint64_t boot_;
   ReplicaHost replica_;
 };
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -9,6 +9,7 @@
 #include "libs/telemetry/metrics.h"
 #include "plugins/control_node/control_node.h"
 #include "plugins/control_node/group_keeper.h"
+#include "plugins/control_node/quarantine_service.h"
 #include "plugins/control_node/watch_service.h"
 
 namespace bilberryspool::control_node {
@@ -40,6 +41,7 @@
               authenticator,
               interface.read_configuration),
         watch_(loop_, node_),
+        quarantine_service_(node_),
         links_(loop_, authenticator),
         groups_(loop_,
                 links_,
@@ -63,7 +65,7 @@
         metrics_server_(
             loop_,
             OptionsFor(settings.metrics_listen, kMaxQuestionBytes),
-            [this](net::HttpExchange& exchange) { ServeMetrics(exchange); }) {}
+            [this](net::HttpExchange& exchange) { Serve(exchange); }) {}
 
   void Run() {
     loop_.Run([this] {
@@ -117,6 +119,13 @@
     return error;
   }
 
+  // Figures for whoever watches, and what operators can do about quarantines.
+  void Serve(net::HttpExchange& exchange) {
+    if (!quarantine_service_.Serve(exchange)) {
+      ServeMetrics(exchange);
+    }
+  }
+
   void ServeMetrics(net::HttpExchange& exchange) {
     metrics_
         .GaugeFor({"bilberryspool_configuration_version",
@@ -126,6 +135,7 @@
         .Set(static_cast<double>(node_.targets().records().size()));
     metrics_.GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
         .Set(node_.replica().is_leader() ? 1.0 : 0.0);
+    quarantine_service_.SetMetrics(metrics_);
     for (const auto& [group, figures] : groups_.figures(net::SteadyNow())) {
       SetGroupMetrics(group, figures);
     }
@@ -168,6 +178,7 @@
   net::NetworkLoop loop_;
   ControlNode node_;
   WatchService watch_;
+  QuarantineService quarantine_service_;
   links::LinkClient links_;
   GroupKeeper groups_;
   links::LinkServer peers_;
--- a/src/plugins/control_node/group_keeper.cc
+++ b/src/plugins/control_node/group_keeper.cc
@@ -185,6 +185,7 @@
   query.revision = mark.revision;
   query.version = node_.configuration().version();
   query.wants_configuration = false;
+  query.quarantine_revision = mark.quarantine_revision;
   const auto result = links_.Call(peer, "control.watch", traffic::ToJson(query),
                                   kLearnPatience);
   const auto* json = std::get_if<boost::json::value>(&result);
@@ -201,7 +202,11 @@
               {{"node", peer.ToString()}});
     return;
   }
-  marks_[peer] = {answer->boot, answer->revision, SteadyNow()};
+  marks_[peer] = {answer->boot, answer->revision, SteadyNow(),
+                  answer->quarantine_revision};
+  if (answer->quarantine.has_value()) {
+    node_.quarantine().Adopt(*answer->quarantine, SteadyNow());
+  }
   node_.NoteNode(peer);
   node_.replica().LearnMembers(answer->members);
   for (const std::string& member : answer->members) {
--- a/src/plugins/control_node/group_keeper.h
+++ b/src/plugins/control_node/group_keeper.h
@@ -48,6 +48,7 @@
     std::uint64_t boot = 0;
     std::uint64_t revision = 0;
     TimePoint heard_at;
+    std::uint64_t quarantine_revision = 0;
   };
 
   // 404 for an engine that this node does not know.
--- /dev/null
+++ b/src/plugins/control_node/quarantine_keeper.cc
@@ -0,0 +1,167 @@
+#include "plugins/control_node/quarantine_keeper.h"
+
+#include "libs/base/json_reading.h"
+#include "libs/base/overloaded.h"
+#include "libs/net/steady_time.h"
+#include "libs/quarantine/quarantine_codec.h"
+
+namespace bilberryspool::control_node {
+
+using net::SteadyNow;
+using quarantine::Verdict;
+
+namespace {
+
+// All gateways are told at once, which takes a small node a while.
+constexpr Duration kBetweenNews = Milliseconds(100);
+constexpr std::uint32_t kMostLinesASecond = 20;
+
+std::string_view Sentence(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kFree:
+      return "A request may pass.";
+    case Verdict::kOneAtATime:
+      return "A request runs one at a time.";
+    case Verdict::kRefused:
+      return "A request is refused.";
+  }
+  return "";
+}
+
+}  // namespace
+
+QuarantineKeeper::QuarantineKeeper(net::FiberSignal& changed)
+    : changed_(changed),
+      log_("quarantine"),
+      book_(quarantine::QuarantineOptions{}) {}
+
+void QuarantineKeeper::Register(links::LinkServer& server) {
+  server.Register("quarantine.report",
+                  [this](const Json& params) { return OnReport(params); });
+  server.Register("quarantine.trial",
+                  [this](const Json& params) { return OnTrial(params); });
+}
+
+std::optional<boost::json::value> QuarantineKeeper::OnReport(
+    const Json& params) {
+  const TimePoint now = SteadyNow();
+  const bool is_read = Report(params, now);
+  Publish(now);
+  return is_read ? std::optional<Json>(true) : std::nullopt;
+}
+
+bool QuarantineKeeper::Report(const Json& reports, TimePoint now) {
+  const auto observations = quarantine::ObservationsFromJson(reports);
+  if (!observations.has_value()) {
+    log_.Warn("Can't read what a gateway reports.", {});
+    return false;
+  }
+  for (const quarantine::Observation& observation : *observations) {
+    Note(observation, now);
+  }
+  return true;
+}
+
+void QuarantineKeeper::Note(const quarantine::Observation& observation,
+                            TimePoint now) {
+  std::visit(
+      Overloaded{
+          [&](const quarantine::EndObserved& end) {
+            if (book_.OnEnd(end, now)) {
+              LogVerdict(end.request, now);
+            }
+          },
+          [&](const quarantine::CompletionObserved& completion) {
+            if (book_.OnCompleted(completion, now)) {
+              LogVerdict(completion.request, now);
+            }
+          },
+          [&](const quarantine::TrialOver& over) { book_.OnTrialOver(over); },
+          [&](const quarantine::ReleaseOrdered& release) {
+            if (book_.OnReleased(release, now)) {
+              LogVerdict(release.request, now);
+            }
+          },
+      },
+      observation);
+}
+
+std::optional<boost::json::value> QuarantineKeeper::OnTrial(
+    const Json& params) {
+  const auto* object = params.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto text = json_reading::Text(*object, "request");
+  const auto asker = json_reading::Text(*object, "asker");
+  const auto request = text.has_value()
+                           ? quarantine::RequestFingerprint::FromText(*text)
+                           : std::nullopt;
+  if (!request.has_value() || !asker.has_value()) {
+    return std::nullopt;
+  }
+  const TimePoint now = SteadyNow();
+  // What the asker has seen may still be on its way.
+  if (const auto* reports = object->if_contains("reports")) {
+    Report(*reports, now);
+  }
+  const bool is_allowed = book_.TryTrial(*request, *asker, now);
+  trials_ += is_allowed ? 1 : 0;
+  Publish(now);
+  return Json(is_allowed);
+}
+
+void QuarantineKeeper::Tick(TimePoint now) {
+  book_.Tick(now);
+  Publish(now);
+}
+
+void QuarantineKeeper::Adopt(
+    const std::vector<quarantine::QuarantineRecord>& records,
+    TimePoint now) {
+  for (const quarantine::QuarantineRecord& record : records) {
+    book_.Adopt(record, now);
+  }
+  Publish(now);
+}
+
+bool QuarantineKeeper::Release(const quarantine::RequestFingerprint& request,
+                               TimePoint now) {
+  const bool is_held = book_.OnReleased({request, Duration::zero()}, now);
+  if (is_held) {
+    LogVerdict(request, now);
+  }
+  Publish(now);
+  return is_held;
+}
+
+void QuarantineKeeper::Publish(TimePoint now) {
+  if (book_.revision() == published_ || now - published_at_ < kBetweenNews) {
+    return;
+  }
+  published_ = book_.revision();
+  published_at_ = now;
+  told_ = book_.Told(now);
+  ++told_revision_;
+  changed_.NotifyAll();
+}
+
+void QuarantineKeeper::LogVerdict(const quarantine::RequestFingerprint& request,
+                                  TimePoint now) {
+  if (now - lines_since_ > Seconds(1)) {
+    lines_since_ = now;
+    lines_ = 0;
+  }
+  const auto record = book_.RecordOf(request, now);
+  if (++lines_ > kMostLinesASecond || !record.has_value()) {
+    return;
+  }
+  log_.Info(Sentence(record->verdict),
+            {{"content", request.ToText()},
+             {"service", record->service.value()},
+             {"ends", record->ends},
+             {"since_ms", record->since / Milliseconds(1)},
+             {"remaining_ms", record->remaining / Milliseconds(1)}});
+}
+
+}  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -33,7 +33,8 @@
   const auto is_urgent = [&] {
     return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
-           query->slow_revision != node_.slow_revision();
+           query->slow_revision != node_.slow_revision() ||
+           query->quarantine_revision != node_.quarantine().told_revision();
   };
   const auto has_news = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -53,6 +54,11 @@
   answer.slow_revision = node_.slow_revision();
   answer.slow_targets = node_.slow_targets();
   answer.is_whole = !knows_this_boot;
+  answer.quarantine_revision = node_.quarantine().told_revision();
+  if (!knows_this_boot ||
+      query->quarantine_revision != answer.quarantine_revision) {
+    answer.quarantine = node_.quarantine().told();
+  }
   // Half of what news wait for anyway: an asker that was told up to an older
   // revision asks again at once.
   const Duration freshness = GatheringTime() / 2;
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -20,6 +20,9 @@
 // While a text is wanted, how often a node is asked anew whether it has it.
 // With 39 gateways and 6 nodes that is 780 questions a second while it lasts.
 constexpr Duration kFetchPoll = Milliseconds(300);
+constexpr Duration kTellPatience = Milliseconds(500);
+// A request waits for the answer.
+constexpr Duration kAskPatience = Milliseconds(200);
 constexpr Duration kPauseAfterFailure = Milliseconds(150);
 // Without a word from the leader the newest configuration heard of counts
 // after this time, so that a failure domain that is cut off goes on serving.
@@ -69,6 +72,7 @@
     }
     if (is_reachable != node->is_reachable) {
       node->is_reachable = is_reachable;
+      state_.quarantine.SetReachable(node->endpoint.ToString(), is_reachable);
       log_.Info(is_reachable ? "Control node regained." : "Control node lost.",
                 {{"node", node->endpoint.ToString()}});
       if (is_reachable) {
@@ -98,14 +102,67 @@
   return state_.routes == nullptr ? 0 : state_.routes->configuration().version;
 }
 
-bool ControlFollower::is_home(const Node& node) const {
+std::vector<net::Endpoint> ControlFollower::RankReachable(
+    std::string_view key,
+    std::size_t count) const {
   std::vector<std::string> nodes;
   nodes.reserve(reachable_.size());
   for (const net::Endpoint& endpoint : reachable_) {
     nodes.push_back(endpoint.ToString());
   }
-  const auto ranked = membership::RankByRendezvous(name_, std::move(nodes), 1);
-  return !ranked.empty() && ranked.front() == node.endpoint.ToString();
+  std::vector<net::Endpoint> ranked;
+  for (const std::string& node :
+       membership::RankByRendezvous(key, std::move(nodes), count)) {
+    if (const auto endpoint = net::ParseEndpoint(node)) {
+      ranked.push_back(*endpoint);
+    }
+  }
+  return ranked;
+}
+
+bool ControlFollower::is_home(const Node& node) const {
+  const auto ranked = RankReachable(name_, 1);
+  return !ranked.empty() && ranked.front() == node.endpoint;
+}
+
+bool ControlFollower::Tell(const net::Endpoint& node,
+                           const std::string& method,
+                           const boost::json::value& params) {
+  const auto result = client_.Call(node, method, params, kTellPatience);
+  const bool is_told = std::holds_alternative<boost::json::value>(result);
+  if (!is_told) {
+    client_.DropIdle(node);
+  }
+  return is_told;
+}
+
+void ControlFollower::TellAll(const std::string& method,
+                              const boost::json::value& params) {
+  for (const net::Endpoint& node : reachable_) {
+    loop_.Spawn([this, node, method, params] {
+      if (Tell(node, method, params) || Tell(node, method, params)) {
+        return;
+      }
+      log_.Warn("A control node can't be told.",
+                {{"node", node.ToString()}, {"method", method}});
+    });
+  }
+}
+
+std::optional<boost::json::value> ControlFollower::AskOne(
+    const std::string& key,
+    const std::string& method,
+    const boost::json::value& params) {
+  constexpr std::size_t kMostAsked = 2;
+  for (const net::Endpoint& node : RankReachable(key, kMostAsked)) {
+    const auto result = client_.Call(node, method, params, kAskPatience);
+    if (const auto* answer = std::get_if<boost::json::value>(&result)) {
+      return *answer;
+    }
+    client_.DropIdle(node);
+  }
+  log_.Warn("No control node answers.", {{"method", method}});
+  return std::nullopt;
 }
 
 // Each node tells of a new configuration at about the same moment. With the
@@ -134,6 +191,7 @@
   query.wants_configuration = wants_configuration;
   query.was_leader = node.is_leader;
   query.slow_revision = node.slow_revision;
+  query.quarantine_revision = node.quarantine_revision;
   // While a text is on its way to another fiber, this one looks again soon, in
   // case it does not arrive.
   const bool lacks_text = node.told_version > version_in_force();
@@ -164,13 +222,20 @@
                             const traffic::WatchAnswer& answer,
                             const std::vector<traffic::TargetRecord>& targets) {
   const TimePoint now = SteadyNow();
+  if (node.boot != answer.boot) {
+    state_.quarantine.TellAgain(now);
+  }
   node.boot = answer.boot;
   node.revision = answer.revision;
   node.told_version = answer.version;
   node.told_bytes = answer.bytes;
   node.is_leader = answer.is_leader;
   node.slow_revision = answer.slow_revision;
+  node.quarantine_revision = answer.quarantine_revision;
   node.heard_at = now;
+  if (answer.quarantine.has_value()) {
+    state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine, now);
+  }
   AdoptConfiguration(answer);
   state_.NoteGateways(answer.gateways);
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole, targets,
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -3,10 +3,13 @@
 #ifndef PLUGINS_GATEWAY_CONTROL_FOLLOWER_H_
 #define PLUGINS_GATEWAY_CONTROL_FOLLOWER_H_
 
+#include <boost/json/value.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libs/links/link_client.h"
@@ -35,6 +38,15 @@
   bool is_current(TimePoint now) const;
   std::size_t reachable_nodes() const { return reachable_.size(); }
 
+  // Calls all control nodes that can be reached; does not wait for them. Each
+  // is called once more where it does not answer.
+  void TellAll(const std::string& method, const boost::json::value& params);
+  // Calls one, the same for the same `key` at all gateways that reach the same
+  // nodes, or else the next; nothing where neither answers.
+  std::optional<boost::json::value> AskOne(const std::string& key,
+                                           const std::string& method,
+                                           const boost::json::value& params);
+
  private:
   struct Node {
     net::Endpoint endpoint;
@@ -45,6 +57,7 @@
     std::uint64_t told_bytes = 0;  // of its text
     bool is_leader = false;
     std::uint64_t slow_revision = 0;
+    std::uint64_t quarantine_revision = 0;
     bool is_reachable = false;
     TimePoint heard_at;
   };
@@ -58,6 +71,12 @@
   // Of the nodes that this gateway reaches, the one for its own texts; another
   // one for each gateway.
   bool is_home(const Node& node) const;
+  // The reachable nodes that are best for `key`, best first.
+  std::vector<net::Endpoint> RankReachable(std::string_view key,
+                                           std::size_t count) const;
+  bool Tell(const net::Endpoint& node,
+            const std::string& method,
+            const boost::json::value& params);
   std::uint64_t version_in_force() const;
   void Adopt(Node& node,
              const traffic::WatchAnswer& answer,
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -108,6 +108,7 @@
 
   std::string Start() {
     file_stamp_ = FileStamp();
+    ConnectQuarantine();
     FollowSeeds(settings_.seeds);
     for (net::HttpServer* server : {&callers_, &readiness_, &metrics_}) {
       std::string error = server->Start();
@@ -120,6 +121,19 @@
     return "";
   }
 
+  void ConnectQuarantine() {
+    QuarantineGuard::Links links;
+    links.tell_all = [this](const std::string& method,
+                            const boost::json::value& params) {
+      follower_.TellAll(method, params);
+    };
+    links.ask_one = [this](const std::string& key, const std::string& method,
+                           const boost::json::value& params) {
+      return follower_.AskOne(key, method, params);
+    };
+    state_.quarantine.Connect(std::move(links));
+  }
+
   void FollowSeeds(const std::vector<settings::SocketAddress>& seeds) {
     std::vector<net::Endpoint> nodes;
     nodes.reserve(seeds.size());
@@ -172,6 +186,7 @@
     while (true) {
       loop_.SleepFor(kWindow);
       state_.metrics.StartWindows();
+      state_.quarantine.Tick(SteadyNow());
     }
   }
 
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "libs/traffic/route_table.h"
 #include "libs/traffic/target_pool.h"
 #include "libs/traffic/wire_dialect.h"
+#include "plugins/gateway/quarantine_guard.h"
 #include "plugins/gateway/request_figures.h"
 #include "plugins/gateway/request_trace.h"
 #include "plugins/gateway/target_ends.h"
@@ -46,6 +47,7 @@
   traffic::TargetPool targets;
   net::HttpClient client;
   TargetEnds ends;
+  QuarantineGuard quarantine;
   Random random;
   // Wakes those who wait for something that control nodes tell.
   net::FiberSignal news;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -102,8 +102,12 @@
       Finish("caller_left", "while the group was forming");
       return;
     }
+    if (!AwaitLeave()) {
+      return;
+    }
     const auto chosen = state_.targets.Choose(service_, tried_, SteadyNow());
     if (const auto* why = std::get_if<traffic::NoChoice>(&chosen)) {
+      EndTrial();
       AnswerNoTarget(*why);
       return;
     }
@@ -111,6 +115,7 @@
     tried_.insert(choice.target);
     ++sends_;
     const SendOutcome outcome = SendTo(choice);
+    EndTrial();
     if (std::holds_alternative<Answered>(outcome)) {
       Finish("served", "");
       return;
@@ -262,6 +267,9 @@
   EndAt(choice, TargetOutcome::kFailed);
   const bool is_unsent = error.kind == net::HttpErrorKind::kConnect;
   const bool has_ended = HasEnded(choice, error.kind);
+  if (has_ended) {
+    NoteEnd(choice);
+  }
   trail_ += is_unsent ? " unreachable" : " no_head:" + error.text;
   trail_ += has_ended ? " ended" : "";
   return NotServed{is_unsent ? SendResult::kNotSent : SendResult::kUnknown,
@@ -326,6 +334,7 @@
     }
     break;
   }
+  NoteCompleted();
   const net::HttpResponseHead& head = stream.head();
   if (head.status >= net::status::kServerError) {
     EndAt(choice, TargetOutcome::kFailed);
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -80,6 +80,15 @@
   void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
   RequestTimes TimesAt(TimePoint now) const;
 
+  // relay_call_leave.cc
+  // Whether the request may be sent now; answers where it may not.
+  bool AwaitLeave();
+  void AnswerQuarantined(const quarantine::Judgement& judgement);
+  void AnswerHeldBack(const quarantine::Judgement& judgement);
+  void NoteEnd(const traffic::Choice& choice);
+  void NoteCompleted();
+  void EndTrial();
+
   // relay_call_streams.cc
   SendOutcome TakeStream(const traffic::Choice& choice,
                          net::HttpClientStream& stream);
@@ -101,6 +110,8 @@
   bool may_have_run_ = false;
   bool caller_left_ = false;
   // The target of the present send, and whether it was left for another.
+  // The name of the present run where it needed leave; else empty.
+  std::string trial_;
   TargetId asked_;
   bool has_left_target_ = false;
   // The retry budget has been asked already for the send that follows.
--- /dev/null
+++ b/src/plugins/gateway/relay_call_leave.cc
@@ -0,0 +1,125 @@
+// RelayCall: requests that end the targets that run them.
+
+#include <algorithm>
+
+#include "libs/net/http_status.h"
+#include "libs/net/steady_time.h"
+#include "plugins/gateway/relay_call.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+using quarantine::Verdict;
+
+namespace {
+
+// A run that is under way elsewhere takes longer than this as a rule; what
+// clears a popular request comes sooner.
+constexpr Duration kLongestWait = Milliseconds(400);
+constexpr Duration kBetweenAsks = Milliseconds(100);
+
+std::string Describe(const quarantine::Judgement& judgement) {
+  const auto ms = [](Duration duration) {
+    return std::to_string(duration / Milliseconds(1)) + " ms";
+  };
+  std::string text = std::to_string(judgement.ends) + " targets ended in " +
+                     ms(judgement.since);
+  text += judgement.source.empty() ? ", seen here"
+                                   : ", told by " + judgement.source + " " +
+                                         ms(judgement.age) + " ago";
+  return text + ", " + ms(judgement.remaining) + " left";
+}
+
+}  // namespace
+
+bool RelayCall::AwaitLeave() {
+  const TimePoint limit =
+      std::min(SteadyNow() + kLongestWait, give_up_at_ - Milliseconds(50));
+  while (true) {
+    const quarantine::Judgement judgement =
+        state_.quarantine.Judge(fingerprint_, SteadyNow());
+    if (judgement.verdict == Verdict::kFree) {
+      return true;
+    }
+    if (judgement.verdict == Verdict::kRefused) {
+      AnswerQuarantined(judgement);
+      return false;
+    }
+    // In a broken group a run would say nothing of the request.
+    const bool is_worth_a_run =
+        state_.targets.OutlookOf(service_, SteadyNow()) ==
+        traffic::Outlook::kOpen;
+    const std::string trial = head_.request_id + "/" + std::to_string(sends_);
+    if (is_worth_a_run && state_.quarantine.TryTrial(fingerprint_, trial)) {
+      trial_ = trial;
+      trail_ += "(one at a time)";
+      return true;
+    }
+    if (caller_left_) {
+      Finish("caller_left", "while another run was under way");
+      return false;
+    }
+    if (!is_worth_a_run || SteadyNow() >= limit) {
+      AnswerHeldBack(judgement);
+      return false;
+    }
+    state_.news.WaitUntil(std::min(limit, SteadyNow() + kBetweenAsks));
+  }
+}
+
+// It has run, and no caller is asked to come back: a final answer.
+void RelayCall::AnswerQuarantined(const quarantine::Judgement& judgement) {
+  const std::string why = "quarantined: " + Describe(judgement);
+  if (has_begun_) {
+    exchange_.AbortStream();
+    Finish("broken_off", why);
+    return;
+  }
+  net::HttpResponseHead head;
+  head.status = net::status::kBadRequest;
+  head.headers.Add("Content-Type", "text/plain");
+  exchange_.Respond(std::move(head),
+                    "targets ended when they ran this request; it is refused "
+                    "for a while\n");
+  Finish("quarantined", why);
+}
+
+void RelayCall::AnswerHeldBack(const quarantine::Judgement& judgement) {
+  const std::string why = "runs one at a time: " + Describe(judgement);
+  if (has_begun_) {
+    exchange_.AbortStream();
+    Finish("broken_off", why);
+    return;
+  }
+  if (failure_.has_value()) {
+    AnswerStep(traffic::RelayStep::kPassFailureOn, why);
+    return;
+  }
+  if (may_have_run_ && !match_.route->may_repeat()) {
+    Fail(net::status::kBadGateway, why);
+    return;
+  }
+  Refuse(ComeBackLater(), why);
+}
+
+void RelayCall::NoteEnd(const traffic::Choice& choice) {
+  quarantine::EndObserved end;
+  end.request = fingerprint_;
+  end.service = service_;
+  end.run = {choice.target, choice.incarnation};
+  end.had_leave = !trial_.empty();
+  state_.quarantine.OnEnd(end, SteadyNow());
+}
+
+void RelayCall::NoteCompleted() {
+  state_.quarantine.OnCompleted(fingerprint_, SteadyNow());
+}
+
+void RelayCall::EndTrial() {
+  if (!trial_.empty()) {
+    state_.quarantine.OnTrialOver(fingerprint_, trial_);
+    trial_.clear();
+  }
+}
+
+}  // namespace bilberryspool::gateway
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -38,9 +38,13 @@
   if (!splitter_.unfinished().empty() || !has_begun_) {
     EndAt(choice, TargetOutcome::kFailed);
     trail_ += " torn";
-    trail_ += HasEnded(choice, net::HttpErrorKind::kClosed) ? " ended" : "";
+    if (HasEnded(choice, net::HttpErrorKind::kClosed)) {
+      NoteEnd(choice);
+      trail_ += " ended";
+    }
     return NotServed{SendResult::kUnknown, "the stream ended in an event"};
   }
+  NoteCompleted();
   EndAt(choice, TargetOutcome::kGood);
   return exchange_.EndStream() ? SendOutcome(Answered{})
                                : SendOutcome(CallerLeft{});
--- /dev/null
+++ b/tests/auto/quarantine/quarantine_book_test.cc
@@ -0,0 +1,185 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "libs/quarantine/quarantine_book.h"
+
+namespace bilberryspool::quarantine {
+namespace {
+
+const RequestFingerprint kRequest{1, 1};
+
+TimePoint TimeAt(Duration since) {
+  return TimePoint{} + Seconds(1000) + since;
+}
+
+// The first of a request is no only run, those that follow are.
+EndObserved EndOf(int target, const RequestFingerprint& request = kRequest) {
+  EndObserved end;
+  end.request = request;
+  end.service = ServiceId("model");
+  end.run = {TargetId("t" + std::to_string(target)), Incarnation(1)};
+  end.had_leave = target > 0;
+  return end;
+}
+
+// Three ends, each 5 s after the other.
+QuarantineBook Refusing() {
+  QuarantineBook book{QuarantineOptions{}};
+  for (int i = 0; i < 3; ++i) {
+    book.OnEnd(EndOf(i), TimeAt(Seconds(5 * i)));
+  }
+  return book;
+}
+constexpr Duration kRefusedAt = Seconds(10);
+
+TEST_CASE("a request runs one at a time after an end, and not after three") {
+  QuarantineBook book{QuarantineOptions{}};
+  CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(0))) == Verdict::kFree);
+  CHECK(book.OnEnd(EndOf(0), TimeAt(Seconds(0))));
+  CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(0))) == Verdict::kOneAtATime);
+  CHECK_FALSE(book.OnEnd(EndOf(1), TimeAt(Seconds(5))));
+  CHECK(book.OnEnd(EndOf(2), TimeAt(Seconds(10))));
+  CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(10))) == Verdict::kRefused);
+}
+
+TEST_CASE("an end that several gateways report counts once") {
+  QuarantineBook book{QuarantineOptions{}};
+  for (int i = 0; i < 5; ++i) {
+    book.OnEnd(EndOf(0), TimeAt(Seconds(2 * i)));
+  }
+  CHECK(book.RecordOf(kRequest, TimeAt(Seconds(9)))->ends == 1);
+}
+
+// Guards against refusing a request for a rack that lost power under it.
+TEST_CASE("targets that end together count as two at most") {
+  QuarantineBook book{QuarantineOptions{}};
+  for (int i = 0; i < 40; ++i) {
+    EndObserved end = EndOf(i);
+    end.had_leave = false;
+    book.OnEnd(end, TimeAt(Milliseconds(20 * i)));
+  }
+  CHECK(book.RecordOf(kRequest, TimeAt(Seconds(1)))->ends == 2);
+  CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(1))) == Verdict::kOneAtATime);
+  CHECK_FALSE(book.OnEnd(EndOf(98), TimeAt(Seconds(3))));
+  CHECK(book.OnEnd(EndOf(99), TimeAt(Seconds(5))));
+  CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(5))) == Verdict::kRefused);
+}
+
+// Guards against refusing a popular request where targets flap.
+TEST_CASE("ends beside other runs alone never refuse a request") {
+  QuarantineBook book{QuarantineOptions{}};
+  for (int i = 0; i < 12; ++i) {
+    EndObserved end = EndOf(i);
+    end.had_leave = false;
+    book.OnEnd(end, TimeAt(Seconds(5 * i)));
+    CHECK(book.VerdictOf(kRequest, TimeAt(Seconds(5 * i))) ==
+          Verdict::kOneAtATime);
+  }
+}
+
+TEST_CASE("one run is allowed until it is over") {
+  QuarantineBook book{QuarantineOptions{}};
+  book.OnEnd(EndOf(0), TimeAt(Seconds(0)));
+  CHECK(book.TryTrial(kRequest, "a", TimeAt(Seconds(1))));
+  CHECK_FALSE(book.TryTrial(kRequest, "b", TimeAt(Seconds(2))));
+  book.OnTrialOver({kRequest, "b"});
+  CHECK_FALSE(book.TryTrial(kRequest, "b", TimeAt(Seconds(2))));
+  book.OnTrialOver({kRequest, "a"});
+  CHECK(book.TryTrial(kRequest, "b", TimeAt(Seconds(2))));
+  // One whose gateway has gone does not last.
+  CHECK(book.TryTrial(kRequest, "c", TimeAt(Seconds(13))));
+}
+
+// Guards against a popular request being refused where many targets end.
+TEST_CASE("a completion clears a request, also of ends soon after it") {
+  QuarantineBook book = Refusing();
+  CHECK(book.OnCompleted({kRequest, Duration::zero()},
+                         TimeAt(kRefusedAt + Seconds(1))));
+  CHECK(book.VerdictOf(kRequest, TimeAt(kRefusedAt + Seconds(1))) ==
+        Verdict::kFree);
+  CHECK_FALSE(book.OnEnd(EndOf(7), TimeAt(kRefusedAt + Seconds(20))));
+  CHECK(book.OnEnd(EndOf(8), TimeAt(kRefusedAt + Seconds(22))));
+}
+
+TEST_CASE("an old completion does not clear a request of a later end") {
+  QuarantineBook book = Refusing();
+  CHECK_FALSE(book.OnCompleted({kRequest, Seconds(60)}, TimeAt(kRefusedAt)));
+  CHECK(book.VerdictOf(kRequest, TimeAt(kRefusedAt)) == Verdict::kRefused);
+}
+
+TEST_CASE("a quarantine ends by a single run, and the next is longer") {
+  QuarantineBook book = Refusing();
+  const TimePoint over = TimeAt(kRefusedAt + Seconds(120));
+  CHECK_FALSE(book.TryTrial(kRequest, "a", over - Seconds(1)));
+  CHECK(book.VerdictOf(kRequest, over) == Verdict::kOneAtATime);
+  CHECK(book.TryTrial(kRequest, "a", over));
+  // Refused again from the start of that run on.
+  CHECK(book.VerdictOf(kRequest, over) == Verdict::kRefused);
+  book.OnEnd(EndOf(5), over + Milliseconds(100));
+  CHECK(book.RecordOf(kRequest, over)->remaining == Seconds(240));
+  CHECK(book.TryTrial(kRequest, "b", over + Seconds(241)));
+}
+
+TEST_CASE("an operator's release lets a request pass, and counts anew") {
+  QuarantineBook book = Refusing();
+  const TimePoint at = TimeAt(kRefusedAt + Seconds(2));
+  CHECK(book.OnReleased({kRequest, Duration::zero()}, at));
+  CHECK(book.VerdictOf(kRequest, at) == Verdict::kFree);
+  CHECK_FALSE(book.OnReleased({RequestFingerprint{9, 9}, {}}, at));
+  // Another node that has not heard of it must not bring it back.
+  QuarantineRecord told;
+  told.request = kRequest;
+  told.ends = 3;
+  told.since = kRefusedAt;
+  told.remaining = Seconds(100);
+  book.Adopt(told, at + Seconds(1));
+  CHECK(book.VerdictOf(kRequest, at + Seconds(1)) == Verdict::kFree);
+  CHECK(book.OnEnd(EndOf(6), at + Seconds(2)));
+}
+
+TEST_CASE("a control node that starts anew takes over what another tells") {
+  const QuarantineBook other = Refusing();
+  const TimePoint at = TimeAt(kRefusedAt + Seconds(20));
+  QuarantineBook book{QuarantineOptions{}};
+  for (const QuarantineRecord& record : other.Told(at)) {
+    book.Adopt(record, at);
+  }
+  CHECK(book.VerdictOf(kRequest, at) == Verdict::kRefused);
+  CHECK(book.RecordOf(kRequest, at)->remaining == Seconds(100));
+  CHECK(book.TryTrial(kRequest, "a", at + Seconds(100)));
+  CHECK(book.VerdictOf(kRequest, at + Seconds(100)) == Verdict::kRefused);
+}
+
+TEST_CASE("a request is forgotten, a quarantined one later") {
+  QuarantineBook book = Refusing();
+  book.OnEnd(EndOf(0, {5, 5}), TimeAt(kRefusedAt));
+  book.Tick(TimeAt(kRefusedAt + Seconds(601)));
+  CHECK(book.size() == 1);
+  book.Tick(TimeAt(kRefusedAt + Seconds(120 + 601)));
+  CHECK(book.size() == 0);
+}
+
+// Guards against memory that grows with an attack of many such requests.
+TEST_CASE("the book stays within its bounds, and keeps what is refused") {
+  QuarantineOptions options;
+  options.max_entries = 50;
+  options.max_told = 10;
+  QuarantineBook book(options);
+  for (int i = 0; i < 3; ++i) {
+    book.OnEnd(EndOf(i), TimeAt(Seconds(5 * i)));
+  }
+  for (std::uint64_t i = 0; i < 500; ++i) {
+    book.OnEnd(EndOf(1, {7, i}), TimeAt(Seconds(11) + Milliseconds(i)));
+  }
+  const TimePoint now = TimeAt(Seconds(12));
+  CHECK(book.size() == 50);
+  CHECK(book.VerdictOf(kRequest, now) == Verdict::kRefused);
+  const std::vector<QuarantineRecord> told = book.Told(now);
+  CHECK(told.size() == 10);
+  CHECK(told.front().request == kRequest);
+}
+
+}  // namespace
+}  // namespace bilberryspool::quarantine
--- /dev/null
+++ b/tests/auto/quarantine/quarantine_random_test.cc
@@ -0,0 +1,82 @@
+// Many gateways, control nodes and targets over many seeds.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "auto/limits/seeds.h"
+#include "auto/quarantine/quarantine_world.h"
+
+namespace bilberryspool::quarantine {
+namespace {
+
+struct Case {
+  std::string name;
+  WorldOptions options;
+  std::uint64_t seeds;
+};
+
+std::vector<Case> Cases() {
+  std::vector<Case> cases;
+  const auto add = [&](const char* name, std::uint64_t seeds, auto change) {
+    WorldOptions options;
+    change(options);
+    cases.push_back({name, options, seeds});
+  };
+  add("7 gateways", 40, [](WorldOptions&) {});
+  add("at all gateways in one moment", 40, [](WorldOptions& options) {
+    options.burst = 7;
+    options.ending_rate = 1.0;
+  });
+  add("40 gateways, many in one moment", 10, [](WorldOptions& options) {
+    options.gateways = 40;
+    options.targets = 64;
+    options.burst = 20;
+  });
+  add("149 gateways", 4, [](WorldOptions& options) {
+    options.gateways = 149;
+    options.targets = 192;
+    options.unique_rate = 600.0;
+    options.burst = 20;
+    options.length = Seconds(30);
+  });
+  add("control nodes and gateways restart", 40, [](WorldOptions& options) {
+    options.control_restarts = 0.2;
+    options.gateway_restarts = 0.2;
+  });
+  add("gateways are cut off", 40, [](WorldOptions& options) {
+    options.cuts = 0.3;
+    options.burst = 3;
+  });
+  add("targets end for other reasons too", 40, [](WorldOptions& options) {
+    options.herds = 0.1;
+    options.popular_rate = 60.0;
+  });
+  add("targets end for other reasons alone", 40, [](WorldOptions& options) {
+    options.herds = 0.3;
+    options.ending_rate = 0.0;
+    options.popular_rate = 200.0;
+  });
+  return cases;
+}
+
+// Guards against a request that ends targets being sent on after the third,
+// whichever gateways it comes to, and against refusing what ran beside it.
+TEST_CASE("a request that ends targets is stopped, and no other one") {
+  for (const Case& one : Cases()) {
+    CAPTURE(one.name);
+    ForEachSeed(one.seeds, [&](std::uint64_t seed) {
+      CAPTURE(seed);
+      const WorldResult result = QuarantineWorld(one.options, seed).Run();
+      CHECK(result.late_sends <= 3);
+      CHECK(result.innocents_refused == 0);
+      CHECK(result.innocents_served > 0);
+      // Waiting for a run elsewhere keeps few from being served.
+      CHECK(result.innocents_held_back * 200 <= result.innocents_served);
+    });
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::quarantine
--- /dev/null
+++ b/tests/auto/quarantine/quarantine_world.cc
@@ -0,0 +1,374 @@
+#include "auto/quarantine/quarantine_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/base/overloaded.h"
+
+namespace bilberryspool::quarantine {
+
+namespace {
+
+constexpr Duration kStep = Milliseconds(50);
+constexpr Duration kUntilEnd = Milliseconds(100);
+constexpr Duration kSettling = Seconds(3);
+constexpr Duration kPatience = Milliseconds(400);
+constexpr Duration kBetweenAsks = Milliseconds(100);
+constexpr int kMostSends = 2;
+
+RequestFingerprint NumberedRequest(std::uint64_t number) {
+  return {1, number};
+}
+const RequestFingerprint kEnding{2, 1};
+const RequestFingerprint kPopular{3, 1};
+
+}  // namespace
+
+QuarantineWorld::QuarantineWorld(WorldOptions options, std::uint64_t seed)
+    : options_(options),
+      random_(seed),
+      now_(TimePoint{} + Seconds(1000)),
+      end_(now_ + options.length),
+      gateways_(options.gateways),
+      targets_(options.targets) {
+  for (std::size_t i = 0; i < options_.controls; ++i) {
+    controls_.push_back(std::make_unique<QuarantineBook>(QuarantineOptions{}));
+  }
+  for (std::size_t i = 0; i < options_.gateways; ++i) {
+    RestartGateway(i);
+    gateways_[i].disturbed_at = TimePoint{};
+  }
+}
+
+WorldResult QuarantineWorld::Run() {
+  Traffic();
+  while (!events_.empty() && events_.begin()->first < end_) {
+    auto first = events_.begin();
+    now_ = first->first;
+    const auto event = std::move(first->second);
+    events_.erase(first);
+    event();
+  }
+  return result_;
+}
+
+void QuarantineWorld::At(TimePoint at, std::function<void()> event) {
+  events_.emplace(at, std::move(event));
+}
+
+void QuarantineWorld::After(Duration delay, std::function<void()> event) {
+  At(now_ + delay, std::move(event));
+}
+
+Duration QuarantineWorld::Delay() {
+  return random_.Between(Milliseconds(1), Milliseconds(10));
+}
+
+bool QuarantineWorld::Strikes(double per_second, Duration step) {
+  return random_.Chance(per_second * ToSeconds(step));
+}
+
+void QuarantineWorld::Traffic() {
+  if (Strikes(options_.ending_rate, kStep)) {
+    for (std::size_t i = 0; i < options_.burst; ++i) {
+      Arrive(kEnding, true);
+    }
+  }
+  const auto steps_a_second = Seconds(1) / kStep;
+  const auto unique = static_cast<std::uint64_t>(options_.unique_rate) /
+                      static_cast<std::uint64_t>(steps_a_second);
+  for (std::uint64_t i = 0; i < unique; ++i) {
+    Arrive(NumberedRequest(++next_id_), false);
+  }
+  if (Strikes(options_.popular_rate, kStep)) {
+    Arrive(kPopular, false);
+  }
+  StrikeFaults();
+  After(kStep, [this] { Traffic(); });
+}
+
+void QuarantineWorld::Arrive(const RequestFingerprint& request,
+                             bool ends_targets) {
+  auto call = std::make_shared<Call>();
+  call->request = request;
+  call->ends_targets = ends_targets;
+  call->gateway = random_.Below(gateways_.size());
+  call->id = std::to_string(++next_id_);
+  call->held_since = now_;
+  Try(call);
+}
+
+void QuarantineWorld::Try(const CallPointer& call) {
+  const Judgement judgement =
+      gateways_[call->gateway].view->Judge(call->request, now_);
+  switch (judgement.verdict) {
+    case Verdict::kFree:
+      Send(call);
+      return;
+    case Verdict::kRefused:
+      result_.innocents_refused += call->ends_targets ? 0 : 1;
+      return;
+    case Verdict::kOneAtATime:
+      AskLeave(call, judgement);
+      return;
+  }
+}
+
+void QuarantineWorld::AskLeave(const CallPointer& call,
+                               const Judgement& /*judgement*/) {
+  const std::string trial = call->id + "/" + std::to_string(call->sends);
+  Gateway& gateway = gateways_[call->gateway];
+  if (gateway.is_cut) {
+    if (gateway.view->TryTrial(call->request, trial, now_)) {
+      call->trial = trial;
+      Send(call);
+    } else {
+      OnDenied(call);
+    }
+    return;
+  }
+  const auto reports = gateway.view->OwnEndsOf(call->request, now_);
+  const std::size_t home = call->request.low % controls_.size();
+  After(Delay(), [this, call, trial, reports, home] {
+    for (const Observation& report : reports) {
+      TakeReport(home, report);
+    }
+    const bool is_allowed =
+        controls_[home]->TryTrial(call->request, trial, now_);
+    After(Delay(), [this, call, trial, is_allowed] {
+      if (!is_allowed) {
+        OnDenied(call);
+        return;
+      }
+      call->trial = trial;
+      Send(call);
+    });
+  });
+}
+
+void QuarantineWorld::OnDenied(const CallPointer& call) {
+  if (now_ - call->held_since < kPatience) {
+    After(kBetweenAsks, [this, call] { Try(call); });
+    return;
+  }
+  result_.innocents_held_back += call->ends_targets ? 0 : 1;
+}
+
+void QuarantineWorld::Send(const CallPointer& call) {
+  std::vector<std::size_t> up;
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i].is_up) {
+      up.push_back(i);
+    }
+  }
+  if (up.empty()) {
+    EndTrial(call);
+    return;
+  }
+  const std::size_t number = up[random_.Below(up.size())];
+  ++call->sends;
+  Target& target = targets_[number];
+  target.calls.push_back(call);
+  const std::uint64_t incarnation = target.incarnation;
+  if (call->ends_targets) {
+    const bool is_in_touch =
+        now_ - gateways_[call->gateway].disturbed_at > kSettling &&
+        !gateways_[call->gateway].is_cut;
+    if (third_end_.has_value() && now_ > *third_end_ + kSettling &&
+        is_in_touch) {
+      ++result_.late_sends;
+    }
+    After(kUntilEnd, [this, number, incarnation] {
+      if (targets_[number].incarnation == incarnation &&
+          targets_[number].is_up) {
+        ++result_.ends;
+        const bool is_third = result_.ends == 3;
+        third_end_ = is_third ? std::optional(now_) : third_end_;
+        EndTarget(number);
+      }
+    });
+    return;
+  }
+  After(random_.Between(Milliseconds(200), Milliseconds(1500)),
+        [this, call, number, incarnation] {
+          Target& runs = targets_[number];
+          const auto at = std::find(runs.calls.begin(), runs.calls.end(), call);
+          if (runs.incarnation == incarnation && at != runs.calls.end()) {
+            runs.calls.erase(at);
+            OnCompleted(call);
+          }
+        });
+}
+
+void QuarantineWorld::EndTarget(std::size_t number) {
+  Target& target = targets_[number];
+  const TargetRun run{TargetId("t" + std::to_string(number)),
+                      Incarnation(target.incarnation)};
+  target.is_up = false;
+  ++target.incarnation;
+  for (const CallPointer& call : std::exchange(target.calls, {})) {
+    After(Delay(), [this, call, run] { OnTargetEnded(call, run); });
+  }
+  After(options_.target_restart,
+        [this, number] { targets_[number].is_up = true; });
+}
+
+void QuarantineWorld::OnTargetEnded(const CallPointer& call,
+                                    const TargetRun& run) {
+  EndObserved end;
+  end.request = call->request;
+  end.service = ServiceId("model");
+  end.run = run;
+  end.had_leave = !call->trial.empty();
+  gateways_[call->gateway].view->OnEnd(end, now_);
+  Report(call->gateway, end);
+  EndTrial(call);
+  if (call->sends < kMostSends) {
+    call->held_since = now_;
+    Try(call);
+  }
+}
+
+void QuarantineWorld::OnCompleted(const CallPointer& call) {
+  ++result_.innocents_served;
+  if (gateways_[call->gateway].view->OnCompleted(call->request, now_)) {
+    Report(call->gateway, CompletionObserved{call->request, Duration::zero()});
+  }
+  EndTrial(call);
+}
+
+void QuarantineWorld::EndTrial(const CallPointer& call) {
+  if (call->trial.empty()) {
+    return;
+  }
+  const TrialOver over{call->request, std::exchange(call->trial, "")};
+  gateways_[call->gateway].view->OnTrialOver(over);
+  Report(call->gateway, over);
+}
+
+void QuarantineWorld::Report(std::size_t gateway,
+                             const Observation& observation) {
+  if (gateways_[gateway].is_cut) {
+    return;
+  }
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    After(Milliseconds(3) + Delay(),
+          [this, i, observation] { TakeReport(i, observation); });
+  }
+}
+
+void QuarantineWorld::TakeReport(std::size_t control,
+                                 const Observation& observation) {
+  QuarantineBook& book = *controls_[control];
+  const std::uint64_t before = book.revision();
+  std::visit(Overloaded{
+                 [&](const EndObserved& end) { book.OnEnd(end, now_); },
+                 [&](const CompletionObserved& completion) {
+                   book.OnCompleted(completion, now_);
+                 },
+                 [&](const TrialOver& over) { book.OnTrialOver(over); },
+                 [&](const ReleaseOrdered& release) {
+                   book.OnReleased(release, now_);
+                 },
+             },
+             observation);
+  if (book.revision() != before) {
+    TellGateways(control);
+  }
+}
+
+void QuarantineWorld::TellGateways(std::size_t control) {
+  if (!about_to_tell_.insert(control).second) {
+    return;
+  }
+  After(random_.Between(Milliseconds(1), Milliseconds(100)), [this, control] {
+    about_to_tell_.erase(control);
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      After(Delay(), [this, control, i] { TellGateway(control, i); });
+    }
+  });
+}
+
+void QuarantineWorld::TellGateway(std::size_t control, std::size_t number) {
+  Gateway& gateway = gateways_[number];
+  if (gateway.is_cut) {
+    return;
+  }
+  const std::string name = "control-" + std::to_string(control);
+  gateway.view->SetReachable(name, true);
+  for (const CompletionObserved& completion :
+       gateway.view->Adopt(name, controls_[control]->Told(now_), now_)) {
+    Report(number, completion);
+  }
+}
+
+void QuarantineWorld::StrikeFaults() {
+  if (Strikes(options_.control_restarts, kStep)) {
+    RestartControl(random_.Below(controls_.size()));
+  }
+  if (Strikes(options_.gateway_restarts, kStep)) {
+    const std::size_t gateway = random_.Below(gateways_.size());
+    RestartGateway(gateway);
+  }
+  if (Strikes(options_.cuts, kStep)) {
+    Cut(random_.Below(gateways_.size()));
+  }
+  if (Strikes(options_.herds, kStep)) {
+    for (std::size_t i = 0; i < targets_.size(); ++i) {
+      if (targets_[i].is_up && random_.Chance(0.6)) {
+        EndTarget(i);
+      }
+    }
+  }
+}
+
+// It has lost all it knew; gateways tell it again, and so do the others.
+void QuarantineWorld::RestartControl(std::size_t control) {
+  controls_[control] = std::make_unique<QuarantineBook>(QuarantineOptions{});
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    After(random_.Between(Milliseconds(200), Milliseconds(600)),
+          [this, i, control] {
+            if (gateways_[i].is_cut) {
+              return;
+            }
+            for (const EndObserved& end : gateways_[i].view->OwnEnds(now_)) {
+              TakeReport(control, end);
+            }
+            TellGateway(control, i);
+          });
+  }
+  After(Seconds(1), [this, control] {
+    for (const auto& other : controls_) {
+      for (const QuarantineRecord& record : other->Told(now_)) {
+        controls_[control]->Adopt(record, now_);
+      }
+    }
+    TellGateways(control);
+  });
+}
+
+void QuarantineWorld::RestartGateway(std::size_t number) {
+  Gateway& gateway = gateways_[number];
+  gateway.view = std::make_unique<QuarantineView>(QuarantineViewOptions{});
+  gateway.disturbed_at = now_;
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    TellGateway(i, number);
+  }
+}
+
+void QuarantineWorld::Cut(std::size_t number) {
+  Gateway& gateway = gateways_[number];
+  gateway.is_cut = true;
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    gateway.view->SetReachable("control-" + std::to_string(i), false);
+  }
+  After(Seconds(5), [this, number] {
+    gateways_[number].is_cut = false;
+    gateways_[number].disturbed_at = now_;
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+      TellGateway(i, number);
+    }
+  });
+}
+
+}  // namespace bilberryspool::quarantine
--- /dev/null
+++ b/tests/auto/quarantine/quarantine_world.h
@@ -0,0 +1,121 @@
+// Gateways, control nodes and targets as pure machines, with a request that
+// ends each target that runs it, others that don't, and faults.
+
+#ifndef AUTO_QUARANTINE_QUARANTINE_WORLD_H_
+#define AUTO_QUARANTINE_QUARANTINE_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/base/random.h"
+#include "libs/quarantine/quarantine_book.h"
+#include "libs/quarantine/quarantine_view.h"
+
+namespace bilberryspool::quarantine {
+
+struct WorldOptions {
+  std::size_t gateways = 7;
+  std::size_t controls = 3;
+  std::size_t targets = 16;
+  // Requests a second, over all gateways.
+  double ending_rate = 4.0;
+  double unique_rate = 80.0;
+  double popular_rate = 20.0;
+  // So many copies of the request that ends targets come at one moment.
+  std::size_t burst = 1;
+  // Chances a second of each fault.
+  double control_restarts = 0.0;
+  double gateway_restarts = 0.0;
+  double cuts = 0.0;
+  // Most targets end at one moment, for another reason.
+  double herds = 0.0;
+  Duration length = Seconds(60);
+  Duration target_restart = Seconds(3);
+};
+
+struct WorldResult {
+  // Targets that the request ended, and sends of it that reached a target
+  // later than the settling time after the third, from gateways in touch.
+  std::size_t ends = 0;
+  std::size_t late_sends = 0;
+  // Requests that end nothing and were refused for good.
+  std::size_t innocents_refused = 0;
+  std::size_t innocents_held_back = 0;
+  std::size_t innocents_served = 0;
+};
+
+class QuarantineWorld {
+ public:
+  QuarantineWorld(WorldOptions options, std::uint64_t seed);
+  WorldResult Run();
+
+ private:
+  struct Call {
+    RequestFingerprint request;
+    bool ends_targets = false;
+    std::size_t gateway = 0;
+    int sends = 0;
+    std::string id;
+    std::string trial;
+    TimePoint held_since;
+  };
+  using CallPointer = std::shared_ptr<Call>;
+  struct Target {
+    std::uint64_t incarnation = 1;
+    bool is_up = true;
+    std::vector<CallPointer> calls;
+  };
+  struct Gateway {
+    std::unique_ptr<QuarantineView> view;
+    bool is_cut = false;
+    // When a fault of it last ended.
+    TimePoint disturbed_at;
+  };
+
+  void At(TimePoint at, std::function<void()> event);
+  void After(Duration delay, std::function<void()> event);
+  Duration Delay();
+  bool Strikes(double per_second, Duration step);
+
+  void Arrive(const RequestFingerprint& request, bool ends_targets);
+  void Try(const CallPointer& call);
+  void AskLeave(const CallPointer& call, const Judgement& judgement);
+  void OnDenied(const CallPointer& call);
+  void Send(const CallPointer& call);
+  void EndTarget(std::size_t target);
+  void OnTargetEnded(const CallPointer& call, const TargetRun& run);
+  void OnCompleted(const CallPointer& call);
+  void Report(std::size_t gateway, const Observation& observation);
+  void TakeReport(std::size_t control, const Observation& observation);
+  void TellGateways(std::size_t control);
+  void TellGateway(std::size_t control, std::size_t gateway);
+  void EndTrial(const CallPointer& call);
+  void StrikeFaults();
+  void RestartControl(std::size_t control);
+  void RestartGateway(std::size_t gateway);
+  void Cut(std::size_t gateway);
+  void Traffic();
+
+  WorldOptions options_;
+  Random random_;
+  TimePoint now_;
+  TimePoint end_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::vector<std::unique_ptr<QuarantineBook>> controls_;
+  std::set<std::size_t> about_to_tell_;
+  std::vector<Gateway> gateways_;
+  std::vector<Target> targets_;
+  std::optional<TimePoint> third_end_;
+  std::uint64_t next_id_ = 0;
+  WorldResult result_;
+};
+
+}  // namespace bilberryspool::quarantine
+
+#endif  // AUTO_QUARANTINE_QUARANTINE_WORLD_H_
--- /dev/null
+++ b/tests/auto/quarantine/request_fingerprint_test.cc
@@ -0,0 +1,45 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "libs/quarantine/request_fingerprint.h"
+
+namespace bilberryspool::quarantine {
+namespace {
+
+RequestIdentity Base() {
+  return {Workspace("w1"), "POST", "h.example", "/a/b?c", "body"};
+}
+
+TEST_CASE("each part of a request tells it from others") {
+  std::vector<RequestIdentity> others(6, Base());
+  others[0].workspace = Workspace("w2");
+  others[1].method = "PUT";
+  others[2].host = "g.example";
+  others[3].target = "/a/b?d";
+  others[4].body = "body2";
+  // The same bytes, divided otherwise.
+  others[5].target = "/a/b?cbo";
+  others[5].body = "dy";
+  for (const RequestIdentity& other : others) {
+    CHECK(FingerprintOf(other) != FingerprintOf(Base()));
+  }
+  CHECK(FingerprintOf(Base()) == FingerprintOf(Base()));
+}
+
+TEST_CASE("a fingerprint is read back from its text, and nothing else is") {
+  const RequestFingerprint fingerprint = FingerprintOf(Base());
+  CHECK(fingerprint.ToText().size() == 32);
+  CHECK(RequestFingerprint::FromText(fingerprint.ToText()) == fingerprint);
+  const RequestFingerprint small{1, 2};
+  CHECK(RequestFingerprint::FromText(small.ToText()) == small);
+  for (const char* text : {"", "12", "0000000000000001000000000000000g",
+                           "-000000000000001000000000000000 1"}) {
+    CAPTURE(text);
+    CHECK_FALSE(RequestFingerprint::FromText(text).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::quarantine
--- a/tests/processes/platform/ending_request_test.sh
+++ b/tests/processes/platform/ending_request_test.sh
@@ -58,4 +58,16 @@
 
 # Another body on the same path, and the same body of another caller, are others.
 expect "another body" 200 "$(call 1 /again/x other-1 -d "order" -o /dev/null -w '%{http_code}')"
+
+# An operator sees which request it is, and lets it pass: it counts anew.
+CONTENT="$(curl -s "127.0.0.2:${P}30/quarantine" | python3 -c 'import json, sys
+refused = [r for r in json.load(sys.stdin) if r["verdict"] == "refused"]
+print(refused[0]["request"] if len(refused) == 1 else refused)')"
+grep -q "outcome=quarantined.*content=$CONTENT" "$RUN"/gateway-1.out || fail "no line tells of $CONTENT"
+expect "the release" 200 "$(status -X DELETE "127.0.0.2:${P}30/quarantine/$CONTENT")"
+BEFORE="$(ends)"
+is_sent_again() { repeat_request 1; [ "$(ends)" -gt "$BEFORE" ]; }
+wait_until "the released request is sent again" is_sent_again
+is_refused_again() { repeat_request 1; repeat_request 2; [ "$(tail -n 1 "$RUN/answers")" = 400 ]; }
+wait_until "it is refused again" is_refused_again
 echo "passed"
