Failing test: a target that names a limit gets as much as any other

Two gateways, three targets, one of which says in each answer that it takes one request a second from all callers together. Of 24 a second it gets 105 in 14 s, 38 in 4 s; 11 are allowed, and the two others have room.

--- /dev/null
+++ b/tests/processes/platform/named_limit_test.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Guards against a target that names a limit for all callers together getting
+# more: two gateways send, one target of three is limited to one a second.
+. "$(dirname "$0")/deployment_on_platform.sh"
+
+for i in $CONTROLS; do start_control "$i"; done
+for i in $GATEWAYS; do start_gateway "$i"; done
+: > "$RUN/arrivals"
+SEEDS_OF_TARGETS="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
+start standin "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}70" --count=2 \
+  --control="$SEEDS_OF_TARGETS"
+start limited "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}80" --count=1 --boot=-limited \
+  --limit=1 --arrivals="$RUN/arrivals" --control="$SEEDS_OF_TARGETS"
+wait_until "the configuration is accepted" is_accepted 2 3 a
+for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
+for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+
+send_for() { # GATEWAY SECONDS: twelve requests a second
+  local end=$((SECONDS + $2)) n=0
+  while [ "$SECONDS" -lt "$end" ]; do
+    n=$((n + 1))
+    call "$1" /a/x "limit-$1-$n" -d order -o /dev/null -w '%{http_code}\n' >> "$RUN/answers-$1"
+    sleep 0.07
+  done
+}
+BEGUN="$(wc -l < "$RUN/arrivals")"
+LOADS=""
+for i in $GATEWAYS; do
+  send_for "$i" 14 &
+  LOADS="$LOADS $!"
+done
+# shellcheck disable=SC2086
+wait $LOADS
+[ "$(wc -l < "$RUN/arrivals")" -gt "$BEGUN" ] || fail "the limited target got nothing, not even its share"
+# From 3 s after it first named its limit on.
+python3 - "$RUN/arrivals" << 'P' || fail "the limited target got more than its limit: $(tr '\n' ' ' < "$RUN/arrivals")"
+import sys
+at = sorted(int(line) for line in open(sys.argv[1]))
+late = [t for t in at if t >= at[0] + 3000]
+most = max((sum(1 for u in late if t <= u < t + 4000) for t in late), default=0)
+print("most in 4 s: %d of %d; %d in all" % (most, 1.5 * 4 + 5, len(at)))
+sys.exit(0 if 0 < most <= 1.5 * 4 + 5 else 1)
+P
+for i in $GATEWAYS; do
+  expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
+done
+echo "passed"
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -4,6 +4,7 @@
 
 #include <gflags/gflags.h>
 
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -24,6 +25,8 @@
 DEFINE_int32(event_ms, 20, "pause between the events of a stream");
 DEFINE_string(boot, "", "what tells the ids of this start from earlier ones");
 DEFINE_string(ends_on, "", "the process ends when it runs a body with this");
+DEFINE_string(limit, "", "requests a second that its answers name as limit");
+DEFINE_string(arrivals, "", "file that gets the time of each request, ms");
 DEFINE_string(record, "", "file that gets a line for each run of such a body");
 
 namespace bilberryspool {
@@ -102,6 +105,9 @@
     net::HttpResponseHead head;
     head.headers.Add("Bilberryspool-Response-Seal", "seal-of-" + id_);
     head.headers.Add("Bilberryspool-Server-Load", "1,0,8");
+    if (!FLAGS_limit.empty()) {
+      head.headers.Add("Server-Limit", FLAGS_limit);
+    }
     head.headers.Add(
         "Bilberryspool-Attempt-Id",
         std::string(request.headers.ValueOr("Bilberryspool-Attempt-Id", "")));
@@ -136,7 +142,18 @@
     std::_Exit(1);
   }
 
+  static void NoteArrival() {
+    using std::chrono::milliseconds;
+    using std::chrono::steady_clock;
+    if (!FLAGS_arrivals.empty()) {
+      const auto now = steady_clock::now().time_since_epoch();
+      std::ofstream(FLAGS_arrivals, std::ios::app)
+          << std::chrono::duration_cast<milliseconds>(now).count() << "\n";
+    }
+  }
+
   void Run(net::HttpExchange& exchange) {
+    NoteArrival();
     const net::HttpRequest& request = exchange.request();
     if (!FLAGS_ends_on.empty() &&
         request.body.find(FLAGS_ends_on) != std::string::npos) {
