--- /dev/null
+++ b/src/libs/declared_limits/limit_accounts.cc
@@ -0,0 +1,203 @@
+#include "libs/declared_limits/limit_accounts.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bilberryspool::declared_limits {
+
+namespace {
+
+constexpr Duration kLongestWait = Seconds(24L * 3600);
+
+}  // namespace
+
+bool LimitAccounts::Hear(const TargetRun& run,
+                         std::optional<double> per_second,
+                         TimePoint now) {
+  const auto found = heard_.find(run.target);
+  const bool is_known = found != heard_.end();
+  const bool is_limited = accounts_.count(run.target) > 0;
+  if (!per_second.has_value() && !is_known && !is_limited) {
+    return false;
+  }
+  const bool is_late = is_known && run.incarnation < found->second.incarnation;
+  if (is_late) {
+    return false;
+  }
+  const bool is_news = !is_known || found->second.per_second != per_second ||
+                       found->second.incarnation != run.incarnation;
+  heard_[run.target] = {run.incarnation, per_second, now};
+  if (is_news) {
+    Review(run.target, now);
+  }
+  return is_news;
+}
+
+void LimitAccounts::Adopt(const std::string& source,
+                          const std::vector<LimitShare>& shares,
+                          TimePoint now) {
+  Source& told = sources_[source];
+  std::set<TargetId> changed;
+  for (const auto& [target, share] : told.shares) {
+    changed.insert(target);
+  }
+  told.shares.clear();
+  for (const LimitShare& share : shares) {
+    told.shares.emplace(share.run.target, share);
+    changed.insert(share.run.target);
+  }
+  for (const TargetId& target : changed) {
+    Review(target, now);
+  }
+}
+
+void LimitAccounts::SetReachable(const std::string& source,
+                                 bool is_reachable,
+                                 TimePoint now) {
+  sources_[source].is_reachable = is_reachable;
+  std::vector<TargetId> targets;
+  for (const auto& [target, account] : accounts_) {
+    targets.push_back(target);
+  }
+  for (const TargetId& target : targets) {
+    Review(target, now);
+  }
+}
+
+void LimitAccounts::Tick(TimePoint now) {
+  std::vector<TargetId> forgotten;
+  std::erase_if(heard_, [&](const auto& item) {
+    const bool is_old = now - item.second.at > options_.memory;
+    if (is_old) {
+      forgotten.push_back(item.first);
+    }
+    return is_old;
+  });
+  for (const TargetId& target : forgotten) {
+    Review(target, now);
+  }
+}
+
+void LimitAccounts::Take(const TargetRun& run, TimePoint now) {
+  const auto found = accounts_.find(run.target);
+  if (found != accounts_.end() &&
+      found->second.incarnation == run.incarnation) {
+    found->second.bucket.Charge(1.0, now);
+  }
+}
+
+Duration LimitAccounts::WaitFor(const TargetRun& run, TimePoint now) const {
+  const Account* account = Find(run);
+  if (account == nullptr) {
+    return Duration::zero();
+  }
+  if (account->rate <= 0.0) {
+    return kLongestWait;
+  }
+  return std::min(account->bucket.WaitFor(1.0, now), kLongestWait);
+}
+
+bool LimitAccounts::IsLimited(const TargetRun& run) const {
+  return Find(run) != nullptr;
+}
+
+std::vector<LimitStatement> LimitAccounts::Statements(TimePoint now) const {
+  std::vector<LimitStatement> statements;
+  for (const auto& [target, heard] : heard_) {
+    if (now - heard.at < options_.told_for) {
+      statements.push_back(
+          {{target, heard.incarnation}, heard.per_second, now - heard.at});
+    }
+  }
+  return statements;
+}
+
+double LimitAccounts::total_share() const {
+  double sum = 0.0;
+  for (const auto& [target, account] : accounts_) {
+    sum += account.rate;
+  }
+  return sum;
+}
+
+const LimitAccounts::Account* LimitAccounts::Find(const TargetRun& run) const {
+  const auto found = accounts_.find(run.target);
+  const bool is_this =
+      found != accounts_.end() && found->second.incarnation == run.incarnation;
+  return is_this ? &found->second : nullptr;
+}
+
+std::optional<LimitShare> LimitAccounts::SmallestShare(
+    const TargetId& target) const {
+  const bool any_reachable =
+      std::any_of(sources_.begin(), sources_.end(),
+                  [](const auto& item) { return item.second.is_reachable; });
+  std::optional<LimitShare> smallest;
+  for (const auto& [name, source] : sources_) {
+    const auto found = source.shares.find(target);
+    if (found == source.shares.end() ||
+        (any_reachable && !source.is_reachable)) {
+      continue;
+    }
+    const LimitShare& share = found->second;
+    const bool is_newer_run = smallest.has_value() &&
+                              share.run.incarnation > smallest->run.incarnation;
+    const bool is_smaller =
+        smallest.has_value() &&
+        share.run.incarnation == smallest->run.incarnation &&
+        share.share < smallest->share;
+    if (!smallest.has_value() || is_newer_run || is_smaller) {
+      smallest = share;
+    }
+  }
+  return smallest;
+}
+
+std::optional<LimitAccounts::Allowance> LimitAccounts::AllowanceOf(
+    const TargetId& target) const {
+  const auto share = SmallestShare(target);
+  const auto found = heard_.find(target);
+  const Heard* heard = found == heard_.end() ? nullptr : &found->second;
+  const bool is_told =
+      share.has_value() &&
+      (heard == nullptr || share->run.incarnation >= heard->incarnation);
+  if (is_told) {
+    Allowance allowance{share->run.incarnation, share->share};
+    const bool has_lower =
+        heard != nullptr && heard->incarnation == share->run.incarnation &&
+        heard->per_second.has_value() && *heard->per_second < share->per_second;
+    if (has_lower) {
+      allowance.rate *= *heard->per_second / share->per_second;
+    }
+    return allowance;
+  }
+  if (heard == nullptr || !heard->per_second.has_value()) {
+    return std::nullopt;
+  }
+  const auto sharers = std::max(gateways_, options_.least_sharers);
+  return Allowance{heard->incarnation,
+                   *heard->per_second / static_cast<double>(sharers)};
+}
+
+void LimitAccounts::Review(const TargetId& target, TimePoint now) {
+  const auto allowance = AllowanceOf(target);
+  if (!allowance.has_value()) {
+    accounts_.erase(target);
+    return;
+  }
+  const double burst = 1.0 + allowance->rate * options_.burst_s;
+  const auto found = accounts_.find(target);
+  if (found != accounts_.end() &&
+      found->second.incarnation == allowance->incarnation) {
+    found->second.rate = allowance->rate;
+    found->second.bucket.Configure(allowance->rate, burst, now);
+    return;
+  }
+  Account account{allowance->incarnation, allowance->rate,
+                  limits::TokenBucket(allowance->rate, burst)};
+  // What was sent just before counts as well.
+  account.bucket.Charge(burst, now);
+  accounts_.insert_or_assign(target, account);
+}
+
+}  // namespace bilberryspool::declared_limits
--- /dev/null
+++ b/src/libs/declared_limits/limit_book.cc
@@ -0,0 +1,104 @@
+#include "libs/declared_limits/limit_book.h"
+
+#include <algorithm>
+
+#include "libs/membership/rendezvous.h"
+
+namespace bilberryspool::declared_limits {
+
+bool LimitBook::Note(const LimitStatement& statement, TimePoint now) {
+  const TimePoint at = now - statement.age;
+  const auto found = entries_.find(statement.run.target);
+  const bool is_known = found != entries_.end();
+  if (!is_known && !statement.per_second.has_value()) {
+    return false;
+  }
+  const bool is_newer_run =
+      is_known && statement.run.incarnation > found->second.incarnation;
+  if (is_known && !is_newer_run && at <= found->second.heard_at) {
+    return false;
+  }
+  if (!is_known) {
+    MakeRoom();
+  }
+  Entry& entry = entries_[statement.run.target];
+  const bool is_changed = entry.per_second != statement.per_second ||
+                          entry.incarnation != statement.run.incarnation;
+  entry.incarnation = statement.run.incarnation;
+  entry.per_second = statement.per_second;
+  entry.heard_at = at;
+  if (is_changed) {
+    Divide(statement.run.target, entry);
+    ++revision_;
+  }
+  return is_changed;
+}
+
+void LimitBook::SetGateways(std::vector<std::string> gateways) {
+  std::sort(gateways.begin(), gateways.end());
+  if (gateways == gateways_) {
+    return;
+  }
+  gateways_ = std::move(gateways);
+  for (auto& [target, entry] : entries_) {
+    Divide(target, entry);
+  }
+  revision_ += size() > 0 ? 1 : 0;
+}
+
+void LimitBook::Tick(TimePoint now) {
+  const std::size_t forgotten = std::erase_if(entries_, [&](const auto& item) {
+    return now - item.second.heard_at > options_.memory;
+  });
+  revision_ += forgotten > 0 ? 1 : 0;
+}
+
+std::vector<LimitShare> LimitBook::SharesOf(const std::string& gateway) const {
+  std::vector<LimitShare> shares;
+  for (const auto& [target, entry] : entries_) {
+    if (!entry.per_second.has_value()) {
+      continue;
+    }
+    const bool has_share = std::find(entry.holders.begin(), entry.holders.end(),
+                                     gateway) != entry.holders.end();
+    LimitShare share;
+    share.run = {target, entry.incarnation};
+    share.per_second = *entry.per_second;
+    share.share = has_share
+                      ? std::max(*entry.per_second, options_.least_per_second) /
+                            static_cast<double>(entry.holders.size())
+                      : 0.0;
+    shares.push_back(share);
+  }
+  return shares;
+}
+
+std::size_t LimitBook::size() const {
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [](const auto& item) { return item.second.per_second.has_value(); }));
+}
+
+void LimitBook::Divide(const TargetId& target, Entry& entry) const {
+  if (!entry.per_second.has_value()) {
+    entry.holders.clear();
+    return;
+  }
+  const double wanted = std::min(*entry.per_second + options_.further_holders,
+                                 static_cast<double>(gateways_.size()));
+  entry.holders = membership::RankByRendezvous(
+      target.value(), gateways_, static_cast<std::size_t>(wanted));
+}
+
+void LimitBook::MakeRoom() {
+  if (entries_.size() < options_.max_entries) {
+    return;
+  }
+  const auto oldest = std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& one, const auto& other) {
+        return one.second.heard_at < other.second.heard_at;
+      });
+  entries_.erase(oldest);
+}
+
+}  // namespace bilberryspool::declared_limits
--- /dev/null
+++ b/src/libs/declared_limits/limit_codec.cc
@@ -0,0 +1,120 @@
+#include "libs/declared_limits/limit_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <charconv>
+#include <cmath>
+
+#include "libs/base/json_reading.h"
+
+namespace bilberryspool::declared_limits {
+
+namespace json = boost::json;
+using json_reading::Decimal;
+using json_reading::Number;
+using json_reading::Text;
+
+namespace {
+
+std::optional<TargetRun> ReadRun(const json::object& object) {
+  const auto target = Text(object, "target");
+  const auto incarnation = Number(object, "incarnation");
+  if (!target.has_value() || !incarnation.has_value()) {
+    return std::nullopt;
+  }
+  return TargetRun{TargetId(*target), Incarnation(*incarnation)};
+}
+
+std::optional<LimitStatement> ReadStatement(const json::object& object) {
+  const auto run = ReadRun(object);
+  const auto age = Number(object, "age_us");
+  if (!run.has_value() || !age.has_value()) {
+    return std::nullopt;
+  }
+  LimitStatement statement;
+  statement.run = *run;
+  statement.age = Microseconds(static_cast<std::int64_t>(*age));
+  if (object.contains("per_second")) {
+    statement.per_second = Decimal(object, "per_second");
+    if (!statement.per_second.has_value()) {
+      return std::nullopt;
+    }
+  }
+  return statement;
+}
+
+std::optional<LimitShare> ReadShare(const json::object& object) {
+  const auto run = ReadRun(object);
+  const auto per_second = Decimal(object, "per_second");
+  const auto share = Decimal(object, "share");
+  if (!run.has_value() || !per_second.has_value() || !share.has_value()) {
+    return std::nullopt;
+  }
+  return LimitShare{*run, *per_second, *share};
+}
+
+template <typename Item, typename Read>
+std::optional<std::vector<Item>> ReadList(const json::value& value,
+                                          const Read& read) {
+  const json::array* array = value.if_array();
+  if (array == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<Item> items;
+  for (const json::value& one : *array) {
+    const auto item = one.is_object() ? read(one.get_object()) : std::nullopt;
+    if (!item.has_value()) {
+      return std::nullopt;
+    }
+    items.push_back(*item);
+  }
+  return items;
+}
+
+}  // namespace
+
+std::optional<double> ReadLimit(std::string_view text) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  const bool is_number = parsed.ec == std::errc() && parsed.ptr == end &&
+                         std::isfinite(number) && number >= 0.0;
+  return is_number ? std::optional<double>(number) : std::nullopt;
+}
+
+json::value ToJson(const std::vector<LimitStatement>& statements) {
+  json::array array;
+  for (const LimitStatement& statement : statements) {
+    json::object object{{"target", statement.run.target.value()},
+                        {"incarnation", statement.run.incarnation.value()},
+                        {"age_us", statement.age.count()}};
+    if (statement.per_second.has_value()) {
+      object["per_second"] = *statement.per_second;
+    }
+    array.push_back(std::move(object));
+  }
+  return array;
+}
+
+json::value ToJson(const std::vector<LimitShare>& shares) {
+  json::array array;
+  for (const LimitShare& share : shares) {
+    array.push_back(json::object{{"target", share.run.target.value()},
+                                 {"incarnation", share.run.incarnation.value()},
+                                 {"per_second", share.per_second},
+                                 {"share", share.share}});
+  }
+  return array;
+}
+
+std::optional<std::vector<LimitStatement>> StatementsFromJson(
+    const json::value& value) {
+  return ReadList<LimitStatement>(value, ReadStatement);
+}
+
+std::optional<std::vector<LimitShare>> SharesFromJson(
+    const json::value& value) {
+  return ReadList<LimitShare>(value, ReadShare);
+}
+
+}  // namespace bilberryspool::declared_limits
--- /dev/null
+++ b/src/libs/declared_limits/limit_codec.h
@@ -0,0 +1,30 @@
+// Statements and shares as JSON, between gateways and control nodes.
+
+#ifndef LIBS_DECLARED_LIMITS_LIMIT_CODEC_H_
+#define LIBS_DECLARED_LIMITS_LIMIT_CODEC_H_
+
+#include <boost/json/value.hpp>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "libs/declared_limits/declared_limit.h"
+
+namespace bilberryspool::declared_limits {
+
+// A limit as a target writes it, requests a second; nothing where `text` is no
+// decimal number of zero or more.
+std::optional<double> ReadLimit(std::string_view text);
+
+boost::json::value ToJson(const std::vector<LimitStatement>& statements);
+boost::json::value ToJson(const std::vector<LimitShare>& shares);
+
+// Nothing where `json` is not what ToJson makes.
+std::optional<std::vector<LimitStatement>> StatementsFromJson(
+    const boost::json::value& json);
+std::optional<std::vector<LimitShare>> SharesFromJson(
+    const boost::json::value& json);
+
+}  // namespace bilberryspool::declared_limits
+
+#endif  // LIBS_DECLARED_LIMITS_LIMIT_CODEC_H_
--- a/src/libs/quarantine/quarantine_record.h
+++ b/src/libs/quarantine/quarantine_record.h
@@ -3,25 +3,17 @@
 #ifndef LIBS_QUARANTINE_QUARANTINE_RECORD_H_
 #define LIBS_QUARANTINE_QUARANTINE_RECORD_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
 
 #include "libs/base/ids.h"
+#include "libs/base/target_run.h"
 #include "libs/base/time.h"
 #include "libs/quarantine/request_fingerprint.h"
 
 namespace bilberryspool::quarantine {
 
-// One start of a target.
-struct TargetRun {
-  TargetId target;
-  Incarnation incarnation;
-
-  auto operator<=>(const TargetRun&) const = default;
-};
-
 // How a request may be sent, in the order of strictness.
 enum class Verdict {
   kFree,
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -19,6 +19,10 @@
 // same target.
 constexpr double kJitter = 0.03;
 
+TargetRun RunOf(const TargetAnnouncement& announcement) {
+  return {announcement.target, announcement.incarnation};
+}
+
 }  // namespace
 
 bool TargetPool::Target::is_silent() const {
@@ -182,11 +186,36 @@
     return told.service == service && told.standing == Standing::kReady &&
            tried.count(item.first) == 0 && !IsSlow(target) &&
            !target.is_silent() && now >= target.rests_until &&
-           now >= target.full_until && !hearing_.IsSuspect(item.first, now) &&
+           now >= target.full_until && IsWithinLimit(target, now) &&
+           !hearing_.IsSuspect(item.first, now) &&
            LoadOf(target, mean_others, now) + 1.0 <= told.slots;
   });
 }
 
+bool TargetPool::IsWithinLimit(const Target& target, TimePoint now) const {
+  return limits_.size() == 0 ||
+         limits_.MayTake(RunOf(target.announcement), now);
+}
+
+std::optional<Duration> TargetPool::LimitedFor(const ServiceId& service,
+                                               TimePoint now) const {
+  std::optional<Duration> soonest;
+  for (const auto& [id, target] : targets_) {
+    const TargetAnnouncement& told = target.announcement;
+    if (told.service != service || told.standing != Standing::kReady ||
+        target.is_silent()) {
+      continue;
+    }
+    const TargetRun run = RunOf(told);
+    if (!limits_.IsLimited(run)) {
+      return std::nullopt;
+    }
+    const Duration wait = limits_.WaitFor(run, now);
+    soonest = std::min(soonest.value_or(wait), wait);
+  }
+  return soonest;
+}
+
 TargetPool::Candidate TargetPool::FindCheapest(const ServiceId& service,
                                                const std::set<TargetId>& tried,
                                                bool may_be_slow,
@@ -207,7 +236,8 @@
     best.is_any_known = true;
     const double most = options_.fullest * told.slots;
     const double load = LoadOf(target, mean_others, now);
-    if (now < target.full_until || (told.slots > 0 && load >= most)) {
+    if (now < target.full_until || !IsWithinLimit(target, now) ||
+        (told.slots > 0 && load >= most)) {
       best.is_any_full = true;
       continue;
     }
@@ -241,6 +271,7 @@
   }
   Target& chosen = *best.target;
   ++chosen.in_flight;
+  limits_.Take(RunOf(chosen.announcement), now);
   hearing_.OnSent(chosen.announcement.target, service, now);
   return Choice{chosen.announcement.target, chosen.announcement.incarnation,
                 chosen.announcement.address, best.load,
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "libs/base/random.h"
+#include "libs/declared_limits/limit_accounts.h"
 #include "libs/traffic/group_outlook.h"
 #include "libs/traffic/target_book.h"
 #include "libs/traffic/target_hearing.h"
@@ -133,6 +134,14 @@
     return outlook_.forms_until(service);
   }
 
+  // What may be sent to targets that declare a limit.
+  declared_limits::LimitAccounts& limits() { return limits_; }
+  const declared_limits::LimitAccounts& limits() const { return limits_; }
+  // Where every target of `service` that is ready declares a limit: until the
+  // first of them takes one more request from this gateway.
+  std::optional<Duration> LimitedFor(const ServiceId& service,
+                                     TimePoint now) const;
+
   struct Counts {
     std::size_t ready = 0;
     std::size_t leaving = 0;
@@ -174,6 +183,7 @@
   void Forget(TimePoint now);
   double PaceOf(const Target& target) const;
   bool IsSlow(const Target& target) const;
+  bool IsWithinLimit(const Target& target, TimePoint now) const;
   // Choose() among all, or among those that are not slow.
   struct Candidate {
     Target* target = nullptr;
@@ -198,6 +208,8 @@
   std::map<TargetId, Target> targets_;
   TargetHearing hearing_{TargetHearingOptions{}};
   GroupOutlook outlook_{GroupOutlookOptions{}};
+  declared_limits::LimitAccounts limits_{
+      declared_limits::LimitAccountsOptions{}};
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 
 #include "libs/base/json_reading.h"
+#include "libs/declared_limits/limit_codec.h"
 #include "libs/quarantine/quarantine_codec.h"
 
 namespace bilberryspool::traffic {
@@ -24,6 +25,8 @@
                       {"was_leader", query.was_leader},
                       {"slow_revision", query.slow_revision},
                       {"quarantine_revision", query.quarantine_revision},
+                      {"limits_revision", query.limits_revision},
+                      {"limits", declared_limits::ToJson(query.limits)},
                       {"wants_configuration", query.wants_configuration},
                       {"wait_us", query.wait.count()}};
 }
@@ -45,6 +48,7 @@
                       {"slow_revision", answer.slow_revision},
                       {"slow", std::move(slow)},
                       {"quarantine_revision", answer.quarantine_revision},
+                      {"limits_revision", answer.limits_revision},
                       {"whole", answer.is_whole},
                       {"targets", answer.targets.value},
                       {"gateways", answer.gateways},
@@ -52,6 +56,9 @@
   if (answer.quarantine.has_value()) {
     object["quarantine"] = quarantine::ToJson(*answer.quarantine);
   }
+  if (answer.shares.has_value()) {
+    object["shares"] = declared_limits::ToJson(*answer.shares);
+  }
   if (answer.configuration.has_value()) {
     object["configuration"] = answer.configuration->value;
   }
@@ -71,11 +78,16 @@
   const auto was_leader = Flag(*object, "was_leader");
   const auto slow_revision = Number(*object, "slow_revision");
   const auto quarantine_revision = Number(*object, "quarantine_revision");
+  const auto limits_revision = Number(*object, "limits_revision");
+  const json::value* limits = object->if_contains("limits");
+  auto statements = limits == nullptr
+                        ? std::nullopt
+                        : declared_limits::StatementsFromJson(*limits);
   const auto wants_configuration = Flag(*object, "wants_configuration");
   const auto wait = Number(*object, "wait_us");
   if (!asker || !control_address || !boot || !revision || !version ||
       !was_leader || !slow_revision || !quarantine_revision ||
-      !wants_configuration || !wait) {
+      !limits_revision || !statements || !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -87,6 +99,8 @@
   query.was_leader = *was_leader;
   query.slow_revision = *slow_revision;
   query.quarantine_revision = *quarantine_revision;
+  query.limits_revision = *limits_revision;
+  query.limits = std::move(*statements);
   query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
   return query;
@@ -105,13 +119,14 @@
   const auto is_whole = Flag(*object, "whole");
   const auto slow_revision = Number(*object, "slow_revision");
   const auto quarantine_revision = Number(*object, "quarantine_revision");
+  const auto limits_revision = Number(*object, "limits_revision");
   const auto gateways = Number(*object, "gateways");
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
-      !slow_revision || !quarantine_revision || !gateways || !targets ||
-      members == nullptr || slow == nullptr || !slow->is_object()) {
+      !slow_revision || !quarantine_revision || !limits_revision || !gateways ||
+      !targets || members == nullptr || slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
   WatchAnswer answer;
@@ -128,6 +143,13 @@
       return std::nullopt;
     }
   }
+  answer.limits_revision = *limits_revision;
+  if (const json::value* shares = object->if_contains("shares")) {
+    answer.shares = declared_limits::SharesFromJson(*shares);
+    if (!answer.shares.has_value()) {
+      return std::nullopt;
+    }
+  }
   answer.gateways = *gateways;
   answer.is_whole = *is_whole;
   if (auto text = Text(*object, "configuration")) {
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/base/time.h"
+#include "libs/declared_limits/declared_limit.h"
 #include "libs/packing/packed_text.h"
 #include "libs/quarantine/quarantine_record.h"
 #include "libs/traffic/target_book.h"
@@ -33,6 +34,9 @@
   bool was_leader = false;
   std::uint64_t slow_revision = 0;  // of the slow targets
   std::uint64_t quarantine_revision = 0;
+  std::uint64_t limits_revision = 0;
+  // What the gateway heard of limits from targets lately.
+  std::vector<declared_limits::LimitStatement> limits;
   // Whether a newer configuration is wanted with the answer, or only its
   // number: all control nodes have the same one, which may be large.
   bool wants_configuration = true;
@@ -63,6 +67,10 @@
   // Requests that end targets, all that are known; only where the asker's
   // revision is another one.
   std::optional<std::vector<quarantine::QuarantineRecord>> quarantine;
+  std::uint64_t limits_revision = 0;
+  // The asker's shares of all limits that targets declare; only where its
+  // revision is another one.
+  std::optional<std::vector<declared_limits::LimitShare>> shares;
   // Only where it is newer than the gateway's, and wanted.
   std::optional<packing::PackedText> configuration;
 };
--- a/src/libs/traffic/wire_dialect.h
+++ b/src/libs/traffic/wire_dialect.h
@@ -35,6 +35,9 @@
   std::string load;
   // From a target that refuses: the one that is at fault, where it knows.
   std::string at_fault;
+  // From a target: requests a second that it takes from all callers together;
+  // as long as it says so.
+  std::string limit;
 };
 
 // Reads a whole configuration as the operator sends it; a sentence that says
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -120,6 +120,7 @@
   while (true) {
     loop_.SleepFor(kTickInterval);
     quarantine_.Tick(SteadyNow());
+    limits_.Tick(SteadyNow());
     if (targets_.Tick(SteadyNow())) {
       log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
       changed_.NotifyAll();
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -21,6 +21,7 @@
 #include "libs/telemetry/log.h"
 #include "libs/traffic/target_book.h"
 #include "libs/traffic/wire_dialect.h"
+#include "plugins/control_node/limit_keeper.h"
 #include "plugins/control_node/quarantine_keeper.h"
 #include "plugins/control_node/replica_host.h"
 
@@ -88,6 +89,7 @@
   }
   const traffic::TargetBook& targets() const { return targets_; }
   QuarantineKeeper& quarantine() { return quarantine_; }
+  LimitKeeper& limits() { return limits_; }
   // Lets a request pass here, and tells the other control nodes. False where
   // nothing is held against it here.
   bool ReleaseRequest(const quarantine::RequestFingerprint& request);
@@ -136,6 +138,7 @@
   TimePoint unreadable_logged_at_;
   net::FiberSignal changed_;
   QuarantineKeeper quarantine_{changed_};
+  LimitKeeper limits_{changed_};
   std::uint64_t boot_;
   ReplicaHost replica_;
 };
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -136,6 +136,10 @@
     metrics_.GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
         .Set(node_.replica().is_leader() ? 1.0 : 0.0);
     quarantine_service_.SetMetrics(metrics_);
+    metrics_
+        .GaugeFor({"bilberryspool_declared_limits",
+                   "Targets that declare a limit for all callers"})
+        .Set(static_cast<double>(node_.limits().book().size()));
     for (const auto& [group, figures] : groups_.figures(net::SteadyNow())) {
       SetGroupMetrics(group, figures);
     }
--- a/src/plugins/control_node/quarantine_keeper.cc
+++ b/src/plugins/control_node/quarantine_keeper.cc
@@ -33,7 +33,8 @@
 QuarantineKeeper::QuarantineKeeper(net::FiberSignal& changed)
     : changed_(changed),
       log_("quarantine"),
-      book_(quarantine::QuarantineOptions{}) {}
+      book_(quarantine::QuarantineOptions{}),
+      lines_(kMostLinesASecond) {}
 
 void QuarantineKeeper::Register(links::LinkServer& server) {
   server.Register("quarantine.report",
@@ -148,12 +149,8 @@
 
 void QuarantineKeeper::LogVerdict(const quarantine::RequestFingerprint& request,
                                   TimePoint now) {
-  if (now - lines_since_ > Seconds(1)) {
-    lines_since_ = now;
-    lines_ = 0;
-  }
   const auto record = book_.RecordOf(request, now);
-  if (++lines_ > kMostLinesASecond || !record.has_value()) {
+  if (!lines_.Take(now) || !record.has_value()) {
     return;
   }
   log_.Info(Sentence(record->verdict),
--- a/src/plugins/control_node/quarantine_keeper.h
+++ b/src/plugins/control_node/quarantine_keeper.h
@@ -12,6 +12,7 @@
 #include "libs/links/link_server.h"
 #include "libs/net/fiber_signal.h"
 #include "libs/quarantine/quarantine_book.h"
+#include "libs/telemetry/line_budget.h"
 #include "libs/telemetry/log.h"
 
 namespace bilberryspool::control_node {
@@ -59,9 +60,7 @@
   std::uint64_t told_revision_ = 0;
   std::uint64_t published_ = 0;  // the book's revision
   TimePoint published_at_;
-  // Lines of the present second.
-  TimePoint lines_since_;
-  std::uint32_t lines_ = 0;
+  telemetry::LineBudget lines_;
   std::uint64_t trials_ = 0;
 };
 
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -23,7 +23,7 @@
     return std::nullopt;
   }
   if (!query->asker.empty()) {
-    gateways_[query->asker] = SteadyNow();
+    NoteGateway(*query);
   }
   if (const auto node = net::ParseEndpoint(query->control_address)) {
     node_.NoteNode(*node);
@@ -34,7 +34,9 @@
     return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
            query->slow_revision != node_.slow_revision() ||
-           query->quarantine_revision != node_.quarantine().told_revision();
+           query->quarantine_revision != node_.quarantine().told_revision() ||
+           (!query->asker.empty() &&
+            query->limits_revision != node_.limits().book().revision());
   };
   const auto has_news = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -59,6 +61,11 @@
       query->quarantine_revision != answer.quarantine_revision) {
     answer.quarantine = node_.quarantine().told();
   }
+  answer.limits_revision = node_.limits().book().revision();
+  if (!query->asker.empty() &&
+      (!knows_this_boot || query->limits_revision != answer.limits_revision)) {
+    answer.shares = node_.limits().book().SharesOf(query->asker);
+  }
   // Half of what news wait for anyway: an asker that was told up to an older
   // revision asks again at once.
   const Duration freshness = GatheringTime() / 2;
@@ -78,15 +85,34 @@
   return traffic::ToJson(answer);
 }
 
+void WatchService::NoteGateway(const traffic::WatchQuery& query) {
+  const TimePoint now = SteadyNow();
+  if (gateways_.insert_or_assign(query.asker, now).second) {
+    ShareLimits();
+  }
+  node_.limits().Note(query.asker, query.limits, now);
+}
+
 std::size_t WatchService::CountGateways(TimePoint now) {
   // Several questions may be lost before one counts as gone.
   const Duration memory = traffic::kLongestWatch * 5;
-  std::erase_if(gateways_, [now, memory](const auto& item) {
-    return now - item.second > memory;
-  });
+  const std::size_t gone = std::erase_if(
+      gateways_, [&](const auto& item) { return now - item.second > memory; });
+  if (gone > 0) {
+    ShareLimits();
+  }
   return gateways_.size();
 }
 
+void WatchService::ShareLimits() {
+  std::vector<std::string> names;
+  names.reserve(gateways_.size());
+  for (const auto& [name, heard_at] : gateways_) {
+    names.push_back(name);
+  }
+  node_.limits().SetGateways(std::move(names));
+}
+
 // Where thousands of targets announce themselves within a second, each would be
 // told to each of hundreds of gateways in an answer of its own, which is more
 // than a small node can send: it falls behind in all that it does.
--- a/src/plugins/control_node/watch_service.h
+++ b/src/plugins/control_node/watch_service.h
@@ -10,6 +10,7 @@
 
 #include "libs/links/link_server.h"
 #include "libs/net/network_loop.h"
+#include "libs/traffic/watch_codec.h"
 #include "plugins/control_node/control_node.h"
 #include "plugins/control_node/target_news.h"
 
@@ -29,7 +30,11 @@
 
   std::optional<Json> OnWatch(const Json& params);
 
+  void NoteGateway(const traffic::WatchQuery& query);
+  // Forgets those that have not asked for long.
   std::size_t CountGateways(TimePoint now);
+  // Divides the limits of targets among the gateways that are known now.
+  void ShareLimits();
   // How long news of targets are gathered before they are told.
   Duration GatheringTime() const;
 
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -73,6 +73,8 @@
     if (is_reachable != node->is_reachable) {
       node->is_reachable = is_reachable;
       state_.quarantine.SetReachable(node->endpoint.ToString(), is_reachable);
+      state_.targets.limits().SetReachable(node->endpoint.ToString(),
+                                           is_reachable, SteadyNow());
       log_.Info(is_reachable ? "Control node regained." : "Control node lost.",
                 {{"node", node->endpoint.ToString()}});
       if (is_reachable) {
@@ -192,6 +194,8 @@
   query.was_leader = node.is_leader;
   query.slow_revision = node.slow_revision;
   query.quarantine_revision = node.quarantine_revision;
+  query.limits_revision = node.limits_revision;
+  query.limits = state_.targets.limits().Statements(SteadyNow());
   // While a text is on its way to another fiber, this one looks again soon, in
   // case it does not arrive.
   const bool lacks_text = node.told_version > version_in_force();
@@ -232,10 +236,15 @@
   node.is_leader = answer.is_leader;
   node.slow_revision = answer.slow_revision;
   node.quarantine_revision = answer.quarantine_revision;
+  node.limits_revision = answer.limits_revision;
   node.heard_at = now;
   if (answer.quarantine.has_value()) {
     state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine, now);
   }
+  if (answer.shares.has_value()) {
+    state_.targets.limits().Adopt(node.endpoint.ToString(), *answer.shares,
+                                  now);
+  }
   AdoptConfiguration(answer);
   state_.NoteGateways(answer.gateways);
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole, targets,
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -58,6 +58,7 @@
     bool is_leader = false;
     std::uint64_t slow_revision = 0;
     std::uint64_t quarantine_revision = 0;
+    std::uint64_t limits_revision = 0;
     bool is_reachable = false;
     TimePoint heard_at;
   };
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -175,6 +175,14 @@
         .GaugeFor({"bilberryspool_control_nodes_reachable",
                    "Control nodes that answer"})
         .Set(static_cast<double>(follower_.reachable_nodes()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_limited_targets",
+                   "Targets that declare a limit for all callers"})
+        .Set(static_cast<double>(state_.targets.limits().size()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_limit_share",
+                   "Requests a second that this gateway may send to them"})
+        .Set(state_.targets.limits().total_share());
     net::HttpResponseHead head;
     head.headers.Add("Content-Type", "text/plain; version=0.0.4");
     exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
@@ -187,6 +195,7 @@
       loop_.SleepFor(kWindow);
       state_.metrics.StartWindows();
       state_.quarantine.Tick(SteadyNow());
+      state_.targets.limits().Tick(SteadyNow());
     }
   }
 
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -71,6 +71,7 @@
     return;
   }
   gateways = count;
+  targets.limits().SetGateways(count);
   // Shares get smaller; a new budget starts with the smaller one.
   budgets.clear();
 }
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -60,8 +60,12 @@
   bool HasEnded(const traffic::Choice& choice, net::HttpErrorKind kind);
   SendOutcome JudgeHead(const traffic::Choice& choice,
                         const net::HttpResponseHead& head);
+  // What the answer says of the target's limit for all callers.
+  void HearLimit(const traffic::Choice& choice,
+                 const net::HttpResponseHead& head);
   SendOutcome TakeWhole(const traffic::Choice& choice,
                         net::HttpClientStream& stream);
+  void RefuseFull();
   void AnswerNoTarget(traffic::NoChoice why);
   void AnswerStep(traffic::RelayStep step, const std::string& why);
   Duration ComeBackLater();
--- /dev/null
+++ b/tests/auto/declared_limits/limit_random_test.cc
@@ -0,0 +1,81 @@
+// Many gateways and control nodes before a target with a limit, many seeds.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "auto/declared_limits/limit_world.h"
+#include "auto/limits/seeds.h"
+
+namespace bilberryspool::declared_limits {
+namespace {
+
+// Guards against gateways that each take a limit for themselves: what they send
+// together stays within it, and the limit is used where there is demand.
+TEST_CASE("all gateways together keep to a target's limit, and use it") {
+  for (const std::size_t gateways : {7, 40, 149}) {
+    for (const double limit : {0.5, 1.0, 5.0, 50.0}) {
+      CAPTURE(gateways);
+      CAPTURE(limit);
+      LimitWorldOptions options;
+      options.gateways = gateways;
+      options.limit = limit;
+      // A target that is held below the others is the first choice wherever
+      // it may take one more.
+      options.demand =
+          std::max(3.0 * static_cast<double>(gateways), 6.0 * limit);
+      ForEachSeed(gateways < 100 ? 6 : 2, [&](std::uint64_t seed) {
+        CAPTURE(seed);
+        const LimitWorldResult result = LimitWorld(options, seed).Run();
+        CHECK(result.most_over <= 0.0);
+        CHECK(result.used > 0.6);
+      });
+    }
+  }
+}
+
+struct Case {
+  std::string name;
+  LimitWorldOptions options;
+};
+
+std::vector<Case> Cases() {
+  std::vector<Case> cases;
+  const auto add = [&](const char* name, auto change) {
+    Case one{name, LimitWorldOptions{}};
+    one.options.limit = 5.0;
+    one.options.demand = 60.0;
+    change(one.options);
+    cases.push_back(one);
+  };
+  add("limits that change",
+      [](LimitWorldOptions& options) { options.changes = 4.0; });
+  add("gateways restart",
+      [](LimitWorldOptions& options) { options.gateway_restarts = 0.3; });
+  add("control nodes restart",
+      [](LimitWorldOptions& options) { options.control_restarts = 0.3; });
+  add("gateways are cut off",
+      [](LimitWorldOptions& options) { options.cuts = 0.2; });
+  add("all of it, 40 gateways", [](LimitWorldOptions& options) {
+    options.gateways = 40;
+    options.changes = 3.0;
+    options.gateway_restarts = 0.2;
+    options.control_restarts = 0.1;
+    options.cuts = 0.2;
+  });
+  return cases;
+}
+
+TEST_CASE("a limit holds while it changes, and gateways come and go") {
+  for (const Case& one : Cases()) {
+    CAPTURE(one.name);
+    ForEachSeed(20, [&](std::uint64_t seed) {
+      CAPTURE(seed);
+      CHECK(LimitWorld(one.options, seed).Run().most_over <= 0.0);
+    });
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::declared_limits
--- /dev/null
+++ b/tests/auto/declared_limits/limit_world.cc
@@ -0,0 +1,229 @@
+#include "auto/declared_limits/limit_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberryspool::declared_limits {
+
+namespace {
+
+constexpr Duration kStep = Milliseconds(10);
+constexpr Duration kSettling = Seconds(3);
+constexpr Duration kUntilCounted = Milliseconds(500);
+constexpr Duration kWindow = Seconds(4);
+constexpr Duration kLongestWatch = Seconds(1);
+constexpr Duration kWatchPoll = Milliseconds(10);
+constexpr Duration kUnlimited = Seconds(3);
+const TargetRun kTarget{TargetId("t"), Incarnation(1)};
+
+}  // namespace
+
+LimitWorld::LimitWorld(LimitWorldOptions options, std::uint64_t seed)
+    : options_(options),
+      random_(seed),
+      now_(TimePoint{} + Seconds(1000)),
+      begin_(now_),
+      end_(now_ + options.length),
+      gateways_(options.gateways) {
+  for (std::size_t i = 0; i < options_.controls; ++i) {
+    controls_.push_back(std::make_unique<LimitBook>(LimitBookOptions{}));
+    NameGateways(i);
+  }
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    gateways_[i].accounts =
+        std::make_unique<LimitAccounts>(LimitAccountsOptions{});
+    gateways_[i].accounts->SetGateways(gateways_.size());
+    for (std::size_t control = 0; control < options_.controls; ++control) {
+      Watch(i, control);
+    }
+  }
+  declared_.push_back({begin_ + kUnlimited, options_.limit});
+}
+
+LimitWorldResult LimitWorld::Run() {
+  Traffic();
+  while (!events_.empty() && events_.begin()->first < end_) {
+    const auto first = events_.begin();
+    now_ = first->first;
+    const auto event = std::move(first->second);
+    events_.erase(first);
+    event();
+  }
+  return Judge();
+}
+
+void LimitWorld::After(Duration delay, std::function<void()> event) {
+  events_.emplace(now_ + delay, std::move(event));
+}
+
+Duration LimitWorld::Delay() {
+  return random_.Between(Milliseconds(1), Milliseconds(10));
+}
+
+bool LimitWorld::Strikes(double per_second) {
+  return random_.Chance(per_second * ToSeconds(kStep));
+}
+
+std::string LimitWorld::NameOf(std::size_t gateway) const {
+  return "gateway-" + std::to_string(gateway);
+}
+
+void LimitWorld::NameGateways(std::size_t control) {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    if (!gateways_[i].is_cut) {
+      names.push_back(NameOf(i));
+    }
+  }
+  controls_[control]->SetGateways(names);
+}
+
+void LimitWorld::Traffic() {
+  const double expected = options_.demand * ToSeconds(kStep);
+  auto count = static_cast<std::uint64_t>(expected);
+  count += random_.Chance(expected - static_cast<double>(count)) ? 1 : 0;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const bool is_first = random_.Chance(options_.skew);
+    Send(is_first ? 0 : random_.Below(gateways_.size()));
+  }
+  if (options_.changes > 1.0 && Strikes(0.15)) {
+    const double factor = 1.0 + random_.Fraction() * (options_.changes - 1.0);
+    const double last = declared_.back().per_second;
+    declared_.push_back(
+        {now_, random_.Chance(0.5) ? last * factor : last / factor});
+  }
+  StrikeFaults();
+  After(kStep, [this] { Traffic(); });
+}
+
+void LimitWorld::Send(std::size_t number) {
+  Gateway& gateway = gateways_[number];
+  if (!gateway.accounts->MayTake(kTarget, now_)) {
+    return;
+  }
+  gateway.accounts->Take(kTarget, now_);
+  const bool counts = gateway.passed_on_at.has_value() &&
+                      now_ - *gateway.passed_on_at >= kUntilCounted &&
+                      !gateway.is_cut &&
+                      now_ - gateway.disturbed_at > kSettling;
+  arrivals_.push_back({now_, counts});
+  After(Delay(), [this, number] {
+    std::optional<double> limit;
+    for (const Declared& declared : declared_) {
+      limit = now_ >= declared.from ? declared.per_second : limit;
+    }
+    After(Delay(), [this, number, limit] {
+      Gateway& heard = gateways_[number];
+      heard.accounts->Hear(kTarget, limit, now_);
+      if (limit.has_value() && !heard.passed_on_at.has_value()) {
+        heard.passed_on_at = now_;
+      }
+    });
+  });
+}
+
+void LimitWorld::Watch(std::size_t number, std::size_t control) {
+  Gateway& gateway = gateways_[number];
+  const std::string source = "control-" + std::to_string(control);
+  gateway.accounts->SetReachable(source, !gateway.is_cut, now_);
+  if (gateway.is_cut) {
+    After(Milliseconds(150), [=, this] { Watch(number, control); });
+    return;
+  }
+  const auto statements = gateway.accounts->Statements(now_);
+  After(Delay(), [this, number, control, statements] {
+    for (const LimitStatement& statement : statements) {
+      controls_[control]->Note(statement, now_);
+    }
+    Answer(number, control, now_ + kLongestWatch);
+  });
+}
+
+void LimitWorld::Answer(std::size_t number,
+                        std::size_t control,
+                        TimePoint limit) {
+  const LimitBook& book = *controls_[control];
+  if (gateways_[number].revisions[control] == book.revision() && now_ < limit) {
+    After(kWatchPoll, [=, this] { Answer(number, control, limit); });
+    return;
+  }
+  const std::uint64_t revision = book.revision();
+  const auto shares = book.SharesOf(NameOf(number));
+  After(Delay(), [=, this] {
+    Gateway& gateway = gateways_[number];
+    if (!gateway.is_cut) {
+      gateway.revisions[control] = revision;
+      gateway.accounts->Adopt("control-" + std::to_string(control), shares,
+                              now_);
+    }
+    Watch(number, control);
+  });
+}
+
+void LimitWorld::StrikeFaults() {
+  if (Strikes(options_.gateway_restarts)) {
+    Gateway& gateway = gateways_[random_.Below(gateways_.size())];
+    gateway.accounts = std::make_unique<LimitAccounts>(LimitAccountsOptions{});
+    gateway.accounts->SetGateways(gateways_.size());
+    gateway.revisions.clear();
+    gateway.passed_on_at.reset();
+    gateway.disturbed_at = now_;
+  }
+  if (Strikes(options_.control_restarts)) {
+    const std::size_t control = random_.Below(controls_.size());
+    controls_[control] = std::make_unique<LimitBook>(LimitBookOptions{});
+    NameGateways(control);
+    for (Gateway& gateway : gateways_) {
+      gateway.revisions[control] = 0;
+    }
+  }
+  if (Strikes(options_.cuts)) {
+    const std::size_t number = random_.Below(gateways_.size());
+    gateways_[number].is_cut = true;
+    const auto name_all = [this] {
+      for (std::size_t i = 0; i < controls_.size(); ++i) {
+        NameGateways(i);
+      }
+    };
+    After(Seconds(5), name_all);
+    After(Seconds(8), [this, number, name_all] {
+      gateways_[number].is_cut = false;
+      gateways_[number].disturbed_at = now_;
+      name_all();
+    });
+  }
+}
+
+// Where the limit changes within a window, the highest one in it counts, and so
+// does the one from before it until gateways can have heard.
+LimitWorldResult LimitWorld::Judge() const {
+  LimitWorldResult result;
+  const TimePoint from = declared_.front().from + kSettling;
+  double used = 0.0;
+  for (std::size_t i = 0; i < arrivals_.size(); ++i) {
+    const TimePoint start = arrivals_[i].at;
+    used += start >= from ? 1.0 : 0.0;
+    if (start < from || !arrivals_[i].counts) {
+      continue;
+    }
+    double limit = 0.0;
+    for (std::size_t k = 0; k < declared_.size(); ++k) {
+      const TimePoint until =
+          k + 1 < declared_.size() ? declared_[k + 1].from + kSettling : end_;
+      const bool is_in_window =
+          declared_[k].from < start + kWindow && until > start;
+      limit = std::max(limit, is_in_window ? declared_[k].per_second : 0.0);
+    }
+    double count = 0.0;
+    for (std::size_t k = i;
+         k < arrivals_.size() && arrivals_[k].at < start + kWindow; ++k) {
+      count += arrivals_[k].counts ? 1.0 : 0.0;
+    }
+    const double allowed = 1.5 * limit * ToSeconds(kWindow) + 5.0;
+    result.most_over = std::max(result.most_over, count - allowed);
+  }
+  result.used = used / (options_.limit * ToSeconds(end_ - from));
+  return result;
+}
+
+}  // namespace bilberryspool::declared_limits
--- /dev/null
+++ b/tests/auto/declared_limits/limit_world.h
@@ -0,0 +1,95 @@
+// Gateways and control nodes as pure machines before one target that declares a
+// limit, with changes of the limit and faults.
+
+#ifndef AUTO_DECLARED_LIMITS_LIMIT_WORLD_H_
+#define AUTO_DECLARED_LIMITS_LIMIT_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/random.h"
+#include "libs/declared_limits/limit_accounts.h"
+#include "libs/declared_limits/limit_book.h"
+
+namespace bilberryspool::declared_limits {
+
+struct LimitWorldOptions {
+  std::size_t gateways = 7;
+  std::size_t controls = 3;
+  double limit = 1.0;
+  // Requests a second that would go to the target, over all gateways.
+  double demand = 20.0;
+  // Part of the demand that comes to the first gateway; else even.
+  double skew = 0.0;
+  // Chances a second.
+  double gateway_restarts = 0.0;
+  double control_restarts = 0.0;
+  double cuts = 0.0;
+  // The limit is changed by up to this factor, up or down; 1: never.
+  double changes = 1.0;
+  Duration length = Seconds(40);
+};
+
+struct LimitWorldResult {
+  // The most arrivals in 4 s beyond what is allowed there, from gateways that
+  // count; none is over where it is not positive.
+  double most_over = -1e9;
+  // Arrivals from the first settling time on, as a part of the limit.
+  double used = 0.0;
+};
+
+class LimitWorld {
+ public:
+  LimitWorld(LimitWorldOptions options, std::uint64_t seed);
+  LimitWorldResult Run();
+
+ private:
+  struct Gateway {
+    std::unique_ptr<LimitAccounts> accounts;
+    bool is_cut = false;
+    TimePoint disturbed_at;
+    std::optional<TimePoint> passed_on_at;
+    std::map<std::size_t, std::uint64_t> revisions;
+  };
+  struct Arrival {
+    TimePoint at;
+    bool counts = false;
+  };
+  struct Declared {
+    TimePoint from;
+    double per_second = 0.0;
+  };
+
+  void After(Duration delay, std::function<void()> event);
+  Duration Delay();
+  bool Strikes(double per_second);
+  std::string NameOf(std::size_t gateway) const;
+  void Traffic();
+  void Send(std::size_t gateway);
+  // One question of a gateway to a control node, held until there is news.
+  void Watch(std::size_t gateway, std::size_t control);
+  void Answer(std::size_t gateway, std::size_t control, TimePoint limit);
+  void StrikeFaults();
+  void NameGateways(std::size_t control);
+  LimitWorldResult Judge() const;
+
+  LimitWorldOptions options_;
+  Random random_;
+  TimePoint now_;
+  TimePoint begin_;
+  TimePoint end_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::vector<std::unique_ptr<LimitBook>> controls_;
+  std::vector<Gateway> gateways_;
+  std::vector<Arrival> arrivals_;
+  std::vector<Declared> declared_;
+};
+
+}  // namespace bilberryspool::declared_limits
+
+#endif  // AUTO_DECLARED_LIMITS_LIMIT_WORLD_H_
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -43,6 +43,13 @@
   answer.targets = PackTargets({MakeRecord()});
   answer.members = {"10.0.0.2:7000"};
   answer.slow_targets = {{"10.0.0.1:80", 2.5}};
+  answer.quarantine_revision = 14;
+  quarantine::QuarantineRecord record;
+  record.request = {1, 2};
+  record.verdict = quarantine::Verdict::kRefused;
+  answer.quarantine = {record};
+  answer.limits_revision = 15;
+  answer.shares = {{{TargetId("t"), Incarnation(3)}, 5.0, 0.5}};
   answer.configuration = packing::PackedText{"{\"version\":7}"};
   return answer;
 }
@@ -56,6 +63,9 @@
   query.version = 3;
   query.was_leader = true;
   query.slow_revision = 4;
+  query.quarantine_revision = 5;
+  query.limits_revision = 6;
+  query.limits = {{{TargetId("t"), Incarnation(3)}, 5.0, Milliseconds(7)}};
   query.wait = Milliseconds(900);
   query.wants_configuration = false;
   const auto asked = WatchQueryFromJson(ToJson(query));
@@ -67,6 +77,12 @@
   CHECK(asked->version == 3);
   CHECK(asked->was_leader);
   CHECK(asked->slow_revision == 4);
+  CHECK(asked->quarantine_revision == 5);
+  CHECK(asked->limits_revision == 6);
+  REQUIRE(asked->limits.size() == 1);
+  CHECK(asked->limits[0].run == query.limits[0].run);
+  CHECK(asked->limits[0].per_second == 5.0);
+  CHECK(asked->limits[0].age == Milliseconds(7));
   CHECK_FALSE(asked->wants_configuration);
   CHECK(asked->wait == Milliseconds(900));
 
@@ -87,6 +103,15 @@
   CHECK((*targets)[0].is_silent);
   CHECK(answered->members == MakeAnswer().members);
   CHECK(answered->slow_targets == MakeAnswer().slow_targets);
+  CHECK(answered->quarantine_revision == 14);
+  REQUIRE(answered->quarantine.has_value());
+  REQUIRE(answered->quarantine->size() == 1);
+  CHECK(answered->quarantine->front().request ==
+        quarantine::RequestFingerprint{1, 2});
+  CHECK(answered->limits_revision == 15);
+  REQUIRE(answered->shares.has_value());
+  REQUIRE(answered->shares->size() == 1);
+  CHECK(answered->shares->front().share == 0.5);
   CHECK(answered->configuration == MakeAnswer().configuration);
 }
 
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -50,6 +50,40 @@
   return "";
 }
 
+// Guards against sending to a target more than it takes from all gateways.
+TEST_CASE("a limited target gets its share, the others the rest") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.limits().Adopt("c1", {{{TargetId("a"), Incarnation(0)}, 4.0, 1.0}},
+                      kStart);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 200; ++i) {
+    const TimePoint now = kStart + Milliseconds(50 * i);
+    const std::string chosen = Chosen(pool, now);
+    ++counts[chosen];
+    pool.OnEnded(TargetId(chosen), TargetOutcome::kGood, now);
+  }
+  CHECK(counts["a"] >= 5);
+  CHECK(counts["a"] <= 11);
+  CHECK(counts["a"] + counts["b"] == 200);
+  CHECK_FALSE(pool.LimitedFor(kService, kStart).has_value());
+}
+
+TEST_CASE("where all are limited, callers are told when the first is not") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.limits().Adopt("c1",
+                      {{{TargetId("a"), Incarnation(0)}, 4.0, 0.5},
+                       {{TargetId("b"), Incarnation(0)}, 4.0, 0.25}},
+                      kStart);
+  CHECK(Chosen(pool, kStart) == "full");
+  const auto wait = pool.LimitedFor(kService, kStart);
+  REQUIRE(wait.has_value());
+  CHECK(*wait > Milliseconds(1990));
+  CHECK(*wait < Milliseconds(2010));
+  CHECK(Chosen(pool, kStart + *wait) == "a");
+}
+
 TEST_CASE("requests spread over the targets, up to a bound") {
   TargetPool pool = MakePool();
   CHECK(Chosen(pool, kStart) == "none");
