Quarantines are kept in the control replicas' log

A quarantine was held in memory alone: after a loss of all processes at one moment a request that ends its targets would end three more, and at several gateways at once more than may be sent.

The leader proposes the requests that are refused where the log holds others, every 5 s at most and 64 of them, 200 bytes each, so that an attack adds 2.6 KB/s at most. Replicas that start take over the last list 0.3 s after they have read it.

The part of the state that is under suspicion, not refused, still starts anew.

--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -78,19 +78,27 @@
 ReplicaHost::Hooks ControlNode::MakeHooks() {
   ReplicaHost::Hooks hooks;
   hooks.apply = [this](const std::string& command) {
-    if (configuration_.Apply(command)) {
-      log_.Info("Configuration in force.",
-                {{"version", configuration_.version()}});
-      changed_.NotifyAll();
+    switch (state_.Apply(command)) {
+      case ReplicatedState::Change::kNone:
+        return;
+      case ReplicatedState::Change::kConfiguration:
+        log_.Info("Configuration in force.",
+                  {{"version", configuration().version()}});
+        changed_.NotifyAll();
+        return;
+      case ReplicatedState::Change::kRefusals:
+        quarantine_.OnSaved(state_.refusals(), SteadyNow());
+        return;
     }
   };
   hooks.restore = [this](const std::string& state) {
-    if (!configuration_.Import(state)) {
+    if (!state_.Import(state)) {
       log_.Error("A snapshot can't be read.", {{"bytes", state.size()}});
     }
+    quarantine_.OnSaved(state_.refusals(), SteadyNow());
     changed_.NotifyAll();
   };
-  hooks.make_snapshot = [this] { return configuration_.Export(); };
+  hooks.make_snapshot = [this] { return state_.Export(); };
   return hooks;
 }
 
@@ -120,6 +128,7 @@
   while (true) {
     loop_.SleepFor(kTickInterval);
     quarantine_.Tick(SteadyNow());
+    SaveRefusals(SteadyNow());
     limits_.Tick(SteadyNow());
     if (targets_.Tick(SteadyNow())) {
       log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
@@ -128,6 +137,27 @@
   }
 }
 
+void ControlNode::SaveRefusals(TimePoint now) {
+  control::ReplicaDriver* driver = replica_.driver();
+  if (is_saving_ || driver == nullptr || !replica_.is_leader()) {
+    return;
+  }
+  const auto unsaved = quarantine_.Unsaved(now);
+  if (!unsaved.has_value()) {
+    return;
+  }
+  is_saving_ = true;
+  loop_.Spawn([this, driver, records = *unsaved] {
+    const auto result = driver->Propose(
+        ReplicatedState::ProposeRefusals(records), kSubmitPatience);
+    if (!result.has_value()) {
+      log_.Warn("The refused requests could not be saved in time.",
+                {{"records", records.size()}});
+    }
+    is_saving_ = false;
+  });
+}
+
 SubmitOutcome ControlNode::Submit(const std::string& text) {
   const auto read = read_configuration_(text);
   if (const auto* why = std::get_if<std::string>(&read)) {
@@ -166,7 +196,7 @@
   log_.Info("Handled a configuration.",
             {{"version", proposed.version},
              {"outcome", unclear == nullptr ? "accepted" : unclear->why},
-             {"in_force", configuration_.version()}});
+             {"in_force", configuration().version()}});
   return outcome;
 }
 
@@ -177,7 +207,7 @@
     return ConfigurationUnclear{"the data folder is being opened"};
   }
   // Applied here means committed, which no later leader takes back.
-  if (version <= configuration_.version()) {
+  if (version <= configuration().version()) {
     return ConfigurationAccepted{version};
   }
   const auto result = driver->Propose(
@@ -231,10 +261,10 @@
 std::optional<packing::PackedText> ControlNode::ReadHere() {
   control::ReplicaDriver* driver = replica_.driver();
   if (driver == nullptr || !driver->WaitUntilCurrent(kReadPatience) ||
-      configuration_.version() == 0) {
+      configuration().version() == 0) {
     return std::nullopt;
   }
-  return configuration_.text();
+  return configuration().text();
 }
 
 std::vector<net::Endpoint> ControlNode::FindWhomToAsk() const {
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -24,6 +24,7 @@
 #include "plugins/control_node/limit_keeper.h"
 #include "plugins/control_node/quarantine_keeper.h"
 #include "plugins/control_node/replica_host.h"
+#include "plugins/control_node/replicated_state.h"
 
 namespace bilberryspool::control_node {
 
@@ -85,7 +86,7 @@
   void NoteNode(const net::Endpoint& node);
 
   const config::NumberedConfiguration& configuration() const {
-    return configuration_;
+    return state_.configuration();
   }
   const traffic::TargetBook& targets() const { return targets_; }
   QuarantineKeeper& quarantine() { return quarantine_; }
@@ -122,16 +123,19 @@
   void TellPeers(const std::string& method, const Json& params);
   void LogSlowTargets(const std::map<std::string, double>& by_address);
   void Tick();
+  // Proposes the requests that are refused where the log does not have them.
+  void SaveRefusals(TimePoint now);
 
   net::NetworkLoop& loop_;
   links::LinkClient client_;
   traffic::ConfigurationReader read_configuration_;
   telemetry::Logger log_;
-  config::NumberedConfiguration configuration_;
+  ReplicatedState state_;
   traffic::TargetBook targets_;
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
   TimePoint slow_told_at_;
+  bool is_saving_ = false;
   std::map<net::Endpoint, TimePoint> heard_nodes_;
   // Announcements that could not be read.
   std::uint64_t unreadable_ = 0;
--- a/src/plugins/control_node/quarantine_keeper.cc
+++ b/src/plugins/control_node/quarantine_keeper.cc
@@ -1,5 +1,8 @@
 #include "plugins/control_node/quarantine_keeper.h"
 
+#include <set>
+#include <utility>
+
 #include "libs/base/json_reading.h"
 #include "libs/base/overloaded.h"
 #include "libs/net/steady_time.h"
@@ -15,6 +18,19 @@
 // All gateways are told at once, which takes a small node a while.
 constexpr Duration kBetweenNews = Milliseconds(100);
 constexpr std::uint32_t kMostLinesASecond = 20;
+constexpr Duration kLogIsRead = Milliseconds(300);
+// Bound what an attack by many such requests adds to the log.
+constexpr Duration kBetweenSaves = Seconds(5);
+constexpr std::size_t kMostSaved = 64;
+
+std::set<quarantine::RequestFingerprint> RequestsOf(
+    const std::vector<quarantine::QuarantineRecord>& records) {
+  std::set<quarantine::RequestFingerprint> requests;
+  for (const quarantine::QuarantineRecord& record : records) {
+    requests.insert(record.request);
+  }
+  return requests;
+}
 
 std::string_view Sentence(Verdict verdict) {
   switch (verdict) {
@@ -112,7 +128,41 @@
   return Json(is_allowed);
 }
 
+void QuarantineKeeper::OnSaved(
+    std::vector<quarantine::QuarantineRecord> records,
+    TimePoint now) {
+  saved_ = std::move(records);
+  saved_at_ = now;
+}
+
+std::optional<std::vector<quarantine::QuarantineRecord>>
+QuarantineKeeper::Unsaved(TimePoint now) {
+  if (saved_at_.has_value() || now - asked_to_save_at_ < kBetweenSaves) {
+    return std::nullopt;
+  }
+  std::vector<quarantine::QuarantineRecord> refused;
+  for (const quarantine::QuarantineRecord& record : told_) {
+    if (record.verdict == Verdict::kRefused && refused.size() < kMostSaved) {
+      refused.push_back(record);
+    }
+  }
+  if (RequestsOf(refused) == RequestsOf(saved_)) {
+    return std::nullopt;
+  }
+  asked_to_save_at_ = now;
+  return refused;
+}
+
 void QuarantineKeeper::Tick(TimePoint now) {
+  // A log that is read after a start gives one list after the other; the last
+  // one holds.
+  if (saved_at_.has_value() && now - *saved_at_ > kLogIsRead) {
+    saved_at_.reset();
+    log_.Info("The log holds refused requests.", {{"records", saved_.size()}});
+    for (const quarantine::QuarantineRecord& record : saved_) {
+      book_.Adopt(record, now);
+    }
+  }
   book_.Tick(now);
   Publish(now);
 }
--- a/src/plugins/control_node/quarantine_keeper.h
+++ b/src/plugins/control_node/quarantine_keeper.h
@@ -34,6 +34,13 @@
   // An operator lets a request pass. False where nothing is held against it.
   bool Release(const quarantine::RequestFingerprint& request, TimePoint now);
 
+  // What the replicas' log holds, in turn also while it is read after a start.
+  void OnSaved(std::vector<quarantine::QuarantineRecord> records,
+               TimePoint now);
+  // What the log should hold; nothing where it does, or did a moment ago.
+  std::optional<std::vector<quarantine::QuarantineRecord>> Unsaved(
+      TimePoint now);
+
   // What gateways are told. It changes a few times a second at most.
   const std::vector<quarantine::QuarantineRecord>& told() const {
     return told_;
@@ -62,6 +69,10 @@
   TimePoint published_at_;
   telemetry::LineBudget lines_;
   std::uint64_t trials_ = 0;
+  std::vector<quarantine::QuarantineRecord> saved_;
+  // Unset once what was saved has been taken over.
+  std::optional<TimePoint> saved_at_;
+  TimePoint asked_to_save_at_;
 };
 
 }  // namespace bilberryspool::control_node
--- a/tests/processes/platform/ending_request_test.sh
+++ b/tests/processes/platform/ending_request_test.sh
@@ -59,6 +59,23 @@
 # Another body on the same path, and the same body of another caller, are others.
 expect "another body" 200 "$(call 1 /again/x other-1 -d "order" -o /dev/null -w '%{http_code}')"
 
+# A quarantine outlives all processes of the system.
+is_saved() { grep -q 'The log holds refused requests. records=1' "$RUN"/control-*.out; }
+wait_until "the quarantine is saved" is_saved
+for i in $GATEWAYS; do kill_hard "gateway-$i"; done
+for i in $CONTROLS; do kill_hard "control-$i"; done
+sed -i 's/first_start = true/first_start = false/' "$RUN"/control-*.toml
+for i in $CONTROLS; do start_control "$i"; done
+for i in $GATEWAYS; do start_gateway "$i"; done
+for i in $GATEWAYS; do wait_until "gateway $i is ready after the restart of all" is_serving "$i"; done
+for i in $GATEWAYS; do wait_until "gateway $i serves after it" is_route "$i" a; done
+is_listed() { curl -s "127.0.0.2:${P}30/quarantine" | grep -q '"refused"'; }
+wait_until "the quarantine is read again" is_listed
+sleep 0.5
+BEFORE="$(ends)"
+for round in 1 2 3; do repeat_request 1; repeat_request 2; done
+expect "targets that ended after the restart of all" "$BEFORE" "$(ends)"
+
 # An operator sees which request it is, and lets it pass: it counts anew.
 CONTENT="$(curl -s "127.0.0.2:${P}30/quarantine" | python3 -c 'import json, sys
 refused = [r for r in json.load(sys.stdin) if r["verdict"] == "refused"]
