The check whether a target has ended holds a request up for 0.1 s at most

Where a connection is reset and the target is then unreachable, as behind a cut, the check waited 0.3 s for an answer before the request went on elsewhere. A refused connection, which is what it looks for, takes one round trip.

--- a/src/plugins/gateway/target_ends.cc
+++ b/src/plugins/gateway/target_ends.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr Duration kPatience = Milliseconds(300);
+// The request waits for it before it is sent on.
+constexpr Duration kPatience = Milliseconds(100);
 // The requests of one target break within this time of each other. Shorter
 // than any start of a process takes, which would listen again.
 constexpr Duration kMemory = Milliseconds(500);
