One reader for lists of objects; a gateway's limits in a file of their own

Two codecs had the same loop; json_reading::ReadObjects serves both. Loop counters of new tests are 64 bits wide where they become durations, as the linter asks.

--- a/src/libs/base/json_reading.h
+++ b/src/libs/base/json_reading.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace bilberryspool::json_reading {
 
@@ -74,6 +75,27 @@
   return value == nullptr ? nullptr : value->if_array();
 }
 
+// A list of objects, each read by `read`, which gives nothing where it can't;
+// nothing where `value` is something else or one can't be read.
+template <typename Item, typename Read>
+std::optional<std::vector<Item>> ReadObjects(const boost::json::value& value,
+                                             const Read& read) {
+  const boost::json::array* array = value.if_array();
+  if (array == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<Item> items;
+  for (const boost::json::value& one : *array) {
+    const std::optional<Item> item =
+        one.is_object() ? read(one.get_object()) : std::nullopt;
+    if (!item.has_value()) {
+      return std::nullopt;
+    }
+    items.push_back(*item);
+  }
+  return items;
+}
+
 }  // namespace bilberryspool::json_reading
 
 #endif  // LIBS_BASE_JSON_READING_H_
--- a/src/libs/declared_limits/limit_codec.cc
+++ b/src/libs/declared_limits/limit_codec.cc
@@ -53,24 +53,6 @@
   return LimitShare{*run, *per_second, *share};
 }
 
-template <typename Item, typename Read>
-std::optional<std::vector<Item>> ReadList(const json::value& value,
-                                          const Read& read) {
-  const json::array* array = value.if_array();
-  if (array == nullptr) {
-    return std::nullopt;
-  }
-  std::vector<Item> items;
-  for (const json::value& one : *array) {
-    const auto item = one.is_object() ? read(one.get_object()) : std::nullopt;
-    if (!item.has_value()) {
-      return std::nullopt;
-    }
-    items.push_back(*item);
-  }
-  return items;
-}
-
 }  // namespace
 
 std::optional<double> ReadLimit(std::string_view text) {
@@ -109,12 +91,12 @@
 
 std::optional<std::vector<LimitStatement>> StatementsFromJson(
     const json::value& value) {
-  return ReadList<LimitStatement>(value, ReadStatement);
+  return json_reading::ReadObjects<LimitStatement>(value, ReadStatement);
 }
 
 std::optional<std::vector<LimitShare>> SharesFromJson(
     const json::value& value) {
-  return ReadList<LimitShare>(value, ReadShare);
+  return json_reading::ReadObjects<LimitShare>(value, ReadShare);
 }
 
 }  // namespace bilberryspool::declared_limits
--- a/src/libs/quarantine/quarantine_codec.cc
+++ b/src/libs/quarantine/quarantine_codec.cc
@@ -2,7 +2,6 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <functional>
 #include <string>
 
 #include "libs/base/json_reading.h"
@@ -138,25 +137,6 @@
                      *age};
 }
 
-template <typename Item>
-std::optional<std::vector<Item>> ReadList(
-    const json::value& value,
-    const std::function<std::optional<Item>(const json::object&)>& read) {
-  const json::array* array = value.if_array();
-  if (array == nullptr) {
-    return std::nullopt;
-  }
-  std::vector<Item> items;
-  for (const json::value& one : *array) {
-    const auto item = one.is_object() ? read(one.get_object()) : std::nullopt;
-    if (!item.has_value()) {
-      return std::nullopt;
-    }
-    items.push_back(*item);
-  }
-  return items;
-}
-
 }  // namespace
 
 json::value ToJson(const std::vector<QuarantineRecord>& records) {
@@ -182,12 +162,12 @@
 
 std::optional<std::vector<QuarantineRecord>> RecordsFromJson(
     const json::value& value) {
-  return ReadList<QuarantineRecord>(value, ReadRecord);
+  return json_reading::ReadObjects<QuarantineRecord>(value, ReadRecord);
 }
 
 std::optional<std::vector<Observation>> ObservationsFromJson(
     const json::value& value) {
-  return ReadList<Observation>(value, ReadObservation);
+  return json_reading::ReadObjects<Observation>(value, ReadObservation);
 }
 
 }  // namespace bilberryspool::quarantine
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "libs/base/overloaded.h"
-#include "libs/declared_limits/limit_codec.h"
 #include "libs/net/http_status.h"
 #include "libs/net/steady_time.h"
 
@@ -24,8 +23,6 @@
 // caller, 1 to 3 ms each, and the turn of a busy process.
 constexpr Duration kAnswerTime = Milliseconds(50);
 
-constexpr Duration kSoonest = Milliseconds(100);
-
 // A request whose caller names no time and whose route is unknown yet.
 constexpr Duration kDefaultPatience = Seconds(8);
 
@@ -324,35 +321,6 @@
   return Answered{};
 }
 
-// An answer that no target signed, or of another target, says nothing of this
-// one's limit.
-void RelayCall::HearLimit(const traffic::Choice& choice,
-                          const net::HttpResponseHead& head) {
-  const traffic::WireDialect& dialect = state_.dialect;
-  const auto text = head.headers.Find(dialect.limit);
-  const bool is_its_own = head.headers.Find(dialect.signature).has_value() ||
-                          head.headers.Find(dialect.not_executed).has_value();
-  if (head.status == net::status::kMisdirected || (!text && !is_its_own)) {
-    return;
-  }
-  std::optional<double> limit;
-  if (text.has_value()) {
-    limit = declared_limits::ReadLimit(*text);
-    if (!limit.has_value()) {
-      trail_ += " limit_unreadable";
-      return;
-    }
-  }
-  const bool is_news = state_.targets.limits().Hear(
-      {choice.target, choice.incarnation}, limit, SteadyNow());
-  if (is_news) {
-    state_.log.Info("A target's limit changed.",
-                    {{"target", choice.target.value()},
-                     {"per_second", limit.has_value() ? std::to_string(*limit)
-                                                      : std::string("none")}});
-  }
-}
-
 RelayCall::SendOutcome RelayCall::TakeWhole(const traffic::Choice& choice,
                                             net::HttpClientStream& stream) {
   std::string body;
@@ -410,16 +378,6 @@
   }
 }
 
-void RelayCall::RefuseFull() {
-  const auto wait = state_.targets.LimitedFor(service_, SteadyNow());
-  if (!wait.has_value()) {
-    Refuse(ComeBackLater(), "all targets full");
-    return;
-  }
-  Refuse(std::clamp(*wait, kSoonest, ComeBackLater()),
-         "all targets have as much as their limits allow");
-}
-
 void RelayCall::AnswerStep(RelayStep step, const std::string& why) {
   if (has_begun_) {
     exchange_.AbortStream();
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -60,12 +60,8 @@
   bool HasEnded(const traffic::Choice& choice, net::HttpErrorKind kind);
   SendOutcome JudgeHead(const traffic::Choice& choice,
                         const net::HttpResponseHead& head);
-  // What the answer says of the target's limit for all callers.
-  void HearLimit(const traffic::Choice& choice,
-                 const net::HttpResponseHead& head);
   SendOutcome TakeWhole(const traffic::Choice& choice,
                         net::HttpClientStream& stream);
-  void RefuseFull();
   void AnswerNoTarget(traffic::NoChoice why);
   void AnswerStep(traffic::RelayStep step, const std::string& why);
   Duration ComeBackLater();
@@ -84,6 +80,12 @@
   void EndAt(const traffic::Choice& choice, traffic::TargetOutcome outcome);
   RequestTimes TimesAt(TimePoint now) const;
 
+  // relay_call_limits.cc
+  // What the answer says of the target's limit for all callers.
+  void HearLimit(const traffic::Choice& choice,
+                 const net::HttpResponseHead& head);
+  void RefuseFull();
+
   // relay_call_leave.cc
   // Whether the request may be sent now; answers where it may not.
   bool AwaitLeave();
--- /dev/null
+++ b/src/plugins/gateway/relay_call_limits.cc
@@ -0,0 +1,60 @@
+// RelayCall: limits that targets declare for all callers.
+
+#include <algorithm>
+
+#include "libs/declared_limits/limit_codec.h"
+#include "libs/net/http_status.h"
+#include "libs/net/steady_time.h"
+#include "plugins/gateway/relay_call.h"
+
+namespace bilberryspool::gateway {
+
+using net::SteadyNow;
+
+namespace {
+
+// The earliest that a caller is asked to come back.
+constexpr Duration kSoonest = Milliseconds(100);
+
+}  // namespace
+
+// An answer that no target signed, or of another target, says nothing of this
+// one's limit.
+void RelayCall::HearLimit(const traffic::Choice& choice,
+                          const net::HttpResponseHead& head) {
+  const traffic::WireDialect& dialect = state_.dialect;
+  const auto text = head.headers.Find(dialect.limit);
+  const bool is_its_own = head.headers.Find(dialect.signature).has_value() ||
+                          head.headers.Find(dialect.not_executed).has_value();
+  if (head.status == net::status::kMisdirected || (!text && !is_its_own)) {
+    return;
+  }
+  std::optional<double> limit;
+  if (text.has_value()) {
+    limit = declared_limits::ReadLimit(*text);
+    if (!limit.has_value()) {
+      trail_ += " limit_unreadable";
+      return;
+    }
+  }
+  const bool is_news = state_.targets.limits().Hear(
+      {choice.target, choice.incarnation}, limit, SteadyNow());
+  if (is_news) {
+    state_.log.Info("A target's limit changed.",
+                    {{"target", choice.target.value()},
+                     {"per_second", limit.has_value() ? std::to_string(*limit)
+                                                      : std::string("none")}});
+  }
+}
+
+void RelayCall::RefuseFull() {
+  const auto wait = state_.targets.LimitedFor(service_, SteadyNow());
+  if (!wait.has_value()) {
+    Refuse(ComeBackLater(), "all targets full");
+    return;
+  }
+  Refuse(std::clamp(*wait, kSoonest, ComeBackLater()),
+         "all targets have as much as their limits allow");
+}
+
+}  // namespace bilberryspool::gateway
--- a/tests/auto/declared_limits/limit_book_test.cc
+++ b/tests/auto/declared_limits/limit_book_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<std::string> Gateways(int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     names.push_back("g" + std::to_string(i));
   }
--- a/tests/auto/quarantine/quarantine_book_test.cc
+++ b/tests/auto/quarantine/quarantine_book_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,8 @@
 }
 
 // The first of a request is no only run, those that follow are.
-EndObserved EndOf(int target, const RequestFingerprint& request = kRequest) {
+EndObserved EndOf(std::int64_t target,
+                  const RequestFingerprint& request = kRequest) {
   EndObserved end;
   end.request = request;
   end.service = ServiceId("model");
@@ -27,7 +29,7 @@
 // Three ends, each 5 s after the other.
 QuarantineBook Refusing() {
   QuarantineBook book{QuarantineOptions{}};
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     book.OnEnd(EndOf(i), TimeAt(Seconds(5 * i)));
   }
   return book;
@@ -46,7 +48,7 @@
 
 TEST_CASE("an end that several gateways report counts once") {
   QuarantineBook book{QuarantineOptions{}};
-  for (int i = 0; i < 5; ++i) {
+  for (std::int64_t i = 0; i < 5; ++i) {
     book.OnEnd(EndOf(0), TimeAt(Seconds(2 * i)));
   }
   CHECK(book.RecordOf(kRequest, TimeAt(Seconds(9)))->ends == 1);
@@ -55,7 +57,7 @@
 // Guards against refusing a request for a rack that lost power under it.
 TEST_CASE("targets that end together count as two at most") {
   QuarantineBook book{QuarantineOptions{}};
-  for (int i = 0; i < 40; ++i) {
+  for (std::int64_t i = 0; i < 40; ++i) {
     EndObserved end = EndOf(i);
     end.had_leave = false;
     book.OnEnd(end, TimeAt(Milliseconds(20 * i)));
@@ -70,7 +72,7 @@
 // Guards against refusing a popular request where targets flap.
 TEST_CASE("ends beside other runs alone never refuse a request") {
   QuarantineBook book{QuarantineOptions{}};
-  for (int i = 0; i < 12; ++i) {
+  for (std::int64_t i = 0; i < 12; ++i) {
     EndObserved end = EndOf(i);
     end.had_leave = false;
     book.OnEnd(end, TimeAt(Seconds(5 * i)));
@@ -167,7 +169,7 @@
   options.max_entries = 50;
   options.max_told = 10;
   QuarantineBook book(options);
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     book.OnEnd(EndOf(i), TimeAt(Seconds(5 * i)));
   }
   for (std::uint64_t i = 0; i < 500; ++i) {
--- a/tests/auto/quarantine/quarantine_view_test.cc
+++ b/tests/auto/quarantine/quarantine_view_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
   return {record};
 }
 
-EndObserved EndOf(int target) {
+EndObserved EndOf(std::int64_t target) {
   EndObserved end;
   end.request = kRequest;
   end.run = {TargetId("t" + std::to_string(target)), Incarnation(1)};
@@ -66,7 +67,7 @@
 TEST_CASE("what a gateway has seen itself counts until others know, or alone") {
   QuarantineView view{QuarantineViewOptions{}};
   view.Adopt("a", {}, kNow);
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     view.OnEnd(EndOf(i), kNow + Seconds(5 * i));
   }
   const TimePoint last = kNow + Seconds(10);
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -57,7 +57,7 @@
   pool.limits().Adopt("c1", {{{TargetId("a"), Incarnation(0)}, 4.0, 1.0}},
                       kStart);
   std::map<std::string, int> counts;
-  for (int i = 0; i < 200; ++i) {
+  for (std::int64_t i = 0; i < 200; ++i) {
     const TimePoint now = kStart + Milliseconds(50 * i);
     const std::string chosen = Chosen(pool, now);
     ++counts[chosen];
