The test of ending requests leaves no target behind

Nine tests of processes failed in a run of all tests with "all ranges of ports are taken": seven stand-ins of earlier runs of processes_ending_request_test still listened. Its end killed the supervisors before they had ended their targets.

--- a/tests/processes/platform/ending_request_test.sh
+++ b/tests/processes/platform/ending_request_test.sh
@@ -6,21 +6,22 @@
 
 TARGETS="0 1 2 3 4 5"
 supervise() { # N: starts a target again a second after it has ended
-  local n="$1" boot=0 child=0
-  trap 'kill -KILL "$child" 2> /dev/null; exit 0' TERM
+  local n="$1" boot=0
+  trap 'kill -KILL $(jobs -p) 2> /dev/null; exit 0' TERM
   while :; do
     boot=$((boot + 1))
     "$BIN/platform_standin" --listen=127.0.0.9 --first_port="$((${P}70 + n))" --count=1 \
       --boot="-$n-$boot" --ends_on=ends-its-target --record="$RUN/ends" \
       --control="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10" &
-    child=$!
-    wait "$child"
+    wait "$!"
     sleep 1
   done
 }
+# A supervisor that is killed at once would leave its target behind.
 end_supervised() {
   local n
   for n in $TARGETS; do kill -TERM "${PIDS[target-$n]}" 2> /dev/null; done
+  for n in $TARGETS; do wait "${PIDS[target-$n]}" 2> /dev/null; done
   end_all
 }
 trap end_supervised EXIT
