News of suspected requests spare small control nodes; the worst one is blamed

Worked out for 149 gateways: where a rack of targets ends, hundreds of requests come under suspicion, and telling all gateways of all of them ten times a second is more than a control node of 0.15 of a core can send. Now 32 under suspicion are told, those with most ends first, four times a second at most; gateways are woken for a second end or a refusal alone, and learn of first ends with their next answer. Limits of targets are told four times a second at most as well.

Of the requests that were at a target when it ended, the one with the most ends is now blamed: an only run is no proof where another one with as many ends was, and a refusal begins 0.1 s after its proof, when the others are known.

A node that has started adds to what it told before for 3 s and replaces it only then.

--- a/src/libs/quarantine/quarantine_book.cc
+++ b/src/libs/quarantine/quarantine_book.cc
@@ -12,6 +12,17 @@
 
 }  // namespace
 
+std::map<RequestFingerprint, Verdict> StrictlyHeld(
+    const std::vector<QuarantineRecord>& records) {
+  std::map<RequestFingerprint, Verdict> held;
+  for (const QuarantineRecord& record : records) {
+    if (record.ends > 1 || record.verdict == Verdict::kRefused) {
+      held.emplace(record.request, record.verdict);
+    }
+  }
+  return held;
+}
+
 bool QuarantineBook::OnEnd(const EndObserved& end, TimePoint now) {
   const TimePoint at = now - end.age;
   if (entries_.count(end.request) == 0) {
@@ -22,6 +33,7 @@
   if (is_cleared || entry.ends.size() >= kMostEndsKept) {
     return false;
   }
+  NoteAt(end.run, end.request);
   const Verdict before = VerdictOf(entry, now);
   const std::uint32_t counted = CountEnds(entry);
   const auto [known, is_new] = entry.ends.try_emplace(end.run);
@@ -42,9 +54,10 @@
   }
   entry.service = end.service;
   entry.last_end = std::max(entry.last_end, at);
-  if (IsProven(entry) && now >= entry.refused_until) {
-    Refuse(entry, now);
+  if (IsProven(end.request, entry) && now >= entry.refused_until) {
+    Refuse(entry, now + options_.hesitation);
   }
+  ReviewOthersAt(end.run, end.request);
   ++revision_;
   return VerdictOf(entry, now) != before;
 }
@@ -106,7 +119,16 @@
   ++revision_;
 }
 
-void QuarantineBook::Tick(TimePoint now) {
+std::vector<RequestFingerprint> QuarantineBook::Tick(TimePoint now) {
+  std::vector<RequestFingerprint> refused;
+  for (auto& [request, entry] : entries_) {
+    if (!entry.is_refusal_told && entry.quarantines > 0 &&
+        VerdictOf(entry, now) == Verdict::kRefused) {
+      entry.is_refusal_told = true;
+      refused.push_back(request);
+      ++revision_;
+    }
+  }
   const std::size_t forgotten = std::erase_if(entries_, [&](const auto& item) {
     const Entry& entry = item.second;
     const bool is_refused = now < entry.refused_until;
@@ -117,6 +139,7 @@
   if (forgotten > 0) {
     ++revision_;
   }
+  return refused;
 }
 
 Verdict QuarantineBook::VerdictOf(const RequestFingerprint& request,
@@ -134,12 +157,11 @@
     return true;
   }
   Entry& entry = found->second;
-  const Verdict verdict = VerdictOf(entry, now);
-  if (verdict == Verdict::kFree) {
+  if (VerdictOf(entry, now) == Verdict::kFree) {
     return true;
   }
   const bool is_taken = !entry.asker.empty() && now < entry.trial_until;
-  if (verdict == Verdict::kRefused || is_taken) {
+  if (now < entry.refused_until || is_taken) {
     return false;
   }
   entry.asker = asker;
@@ -172,9 +194,18 @@
     if (one.verdict != other.verdict) {
       return one.verdict > other.verdict;
     }
+    if (one.ends != other.ends) {
+      return one.ends > other.ends;
+    }
     return one.since < other.since;
   });
-  told.resize(std::min(told.size(), options_.max_told));
+  const auto refused = static_cast<std::size_t>(std::count_if(
+      told.begin(), told.end(), [](const QuarantineRecord& record) {
+        return record.verdict == Verdict::kRefused;
+      }));
+  const std::size_t most =
+      std::min(options_.max_told, refused + options_.max_told_under_suspicion);
+  told.resize(std::min(told.size(), most));
   return told;
 }
 
@@ -225,16 +256,65 @@
 
 // Targets under a popular request may end again and again for other reasons;
 // only runs that end their targets tell of the request.
-bool QuarantineBook::IsProven(const Entry& entry) const {
-  const auto proofs =
-      std::count_if(entry.ends.begin(), entry.ends.end(),
-                    [](const auto& item) { return item.second.had_leave; });
-  return CountEnds(entry) >= options_.ends_to_refuse &&
+bool QuarantineBook::IsProven(const RequestFingerprint& request,
+                              const Entry& entry) const {
+  const std::uint32_t ends = CountEnds(entry);
+  const auto proofs = std::count_if(
+      entry.ends.begin(), entry.ends.end(), [&](const auto& item) {
+        return item.second.had_leave && !IsDoubtful(item.first, request, ends);
+      });
+  return ends >= options_.ends_to_refuse &&
          static_cast<std::uint32_t>(proofs) >= options_.proofs_to_refuse;
 }
 
+bool QuarantineBook::IsDoubtful(const TargetRun& run,
+                                const RequestFingerprint& request,
+                                std::uint32_t ends) const {
+  const auto there = at_run_.find(run);
+  if (there == at_run_.end()) {
+    return false;
+  }
+  return std::any_of(there->second.begin(), there->second.end(),
+                     [&](const RequestFingerprint& other) {
+                       const auto found = entries_.find(other);
+                       return other != request && found != entries_.end() &&
+                              CountEnds(found->second) >= ends;
+                     });
+}
+
+void QuarantineBook::NoteAt(const TargetRun& run,
+                            const RequestFingerprint& request) {
+  const auto [there, is_new] = at_run_.try_emplace(run);
+  there->second.insert(request);
+  if (!is_new) {
+    return;
+  }
+  runs_.push_back(run);
+  if (runs_.size() > options_.max_runs) {
+    at_run_.erase(runs_.front());
+    runs_.pop_front();
+  }
+}
+
+void QuarantineBook::ReviewOthersAt(const TargetRun& run,
+                                    const RequestFingerprint& request) {
+  for (const RequestFingerprint& other : at_run_[run]) {
+    const auto found = entries_.find(other);
+    if (other == request || found == entries_.end()) {
+      continue;
+    }
+    Entry& entry = found->second;
+    const bool is_first_refusal = entry.quarantines == 1;
+    if (is_first_refusal && entry.adopted_ends == 0 &&
+        !IsProven(other, entry)) {
+      entry.refused_until = TimePoint{};
+      entry.quarantines = 0;
+    }
+  }
+}
+
 Verdict QuarantineBook::VerdictOf(const Entry& entry, TimePoint now) const {
-  if (now < entry.refused_until) {
+  if (now >= entry.refused_from && now < entry.refused_until) {
     return Verdict::kRefused;
   }
   return CountEnds(entry) > 0 ? Verdict::kOneAtATime : Verdict::kFree;
@@ -253,11 +333,13 @@
   return record;
 }
 
-void QuarantineBook::Refuse(Entry& entry, TimePoint now) {
+void QuarantineBook::Refuse(Entry& entry, TimePoint from) {
   const std::uint32_t doublings = std::min(entry.quarantines, kMostDoublings);
+  entry.refused_from = from;
   entry.refused_until =
-      now + std::min(options_.first_quarantine * (1U << doublings),
-                     options_.longest_quarantine);
+      from + std::min(options_.first_quarantine * (1U << doublings),
+                      options_.longest_quarantine);
+  entry.is_refusal_told = false;
   ++entry.quarantines;
 }
 
--- a/src/libs/quarantine/quarantine_book.h
+++ b/src/libs/quarantine/quarantine_book.h
@@ -7,7 +7,9 @@
 //
 // A request that a target ended under therefore runs one at a time in the whole
 // deployment, until it completes, or has ended too many and some of them as its
-// only run. Then it is refused for a while, longer each time, and tried
+// only run. Of the requests that were at a target when it ended, the one with
+// the most ends is to blame for it. Then it is refused for a while, longer each
+// time, and tried
 // again by a single run. A completion of the same request, at any gateway,
 // clears it, also of what comes soon after: a popular request runs at many
 // targets when they end for another reason.
@@ -19,8 +21,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +46,8 @@
   std::uint32_t most_of_one_cause = 2;
   // A completion clears of ends up to so much later.
   Duration alibi = Seconds(20);
+  // What else was at the same targets is reported within this time.
+  Duration hesitation = Milliseconds(100);
   // The first refusal and the longest; each is twice as long as the last.
   Duration first_quarantine = Seconds(120);
   Duration longest_quarantine = Seconds(3600);
@@ -51,10 +57,20 @@
   Duration memory = Seconds(600);
   // Bounds memory; those that are not refused go first, oldest end first.
   std::size_t max_entries = 4096;
+  // Ends of targets for which it is known what was there.
+  std::size_t max_runs = 1024;
   // Most that are told to gateways; those that are refused come first.
   std::size_t max_told = 256;
+  // Of those that are not refused. Where a rack of targets ends, hundreds of
+  // requests are under suspicion that hardly any gateway will see again.
+  std::size_t max_told_under_suspicion = 32;
 };
 
+// Of what is told, the part that gateways must not learn late: requests with
+// more than one end, and those that are refused.
+std::map<RequestFingerprint, Verdict> StrictlyHeld(
+    const std::vector<QuarantineRecord>& records);
+
 class QuarantineBook {
  public:
   explicit QuarantineBook(QuarantineOptions options) : options_(options) {}
@@ -70,8 +86,8 @@
   // An operator lets the request pass; ends from now on count. False where
   // nothing is held against it.
   bool OnReleased(const ReleaseOrdered& release, TimePoint now);
-  // Forgets, and lets quarantines end.
-  void Tick(TimePoint now);
+  // Forgets, and returns the requests that are refused from about now on.
+  std::vector<RequestFingerprint> Tick(TimePoint now);
 
   Verdict VerdictOf(const RequestFingerprint& request, TimePoint now) const;
   // Whether `asker` may run the request now. While that run is under way no
@@ -107,7 +123,10 @@
     TimePoint last_end;
     // Ends before this don't count.
     TimePoint cleared_until;
+    TimePoint refused_from;
     TimePoint refused_until;
+    // The refusal has begun, and is told.
+    bool is_refusal_told = false;
     std::uint32_t quarantines = 0;
     // The run that is allowed.
     std::string asker;
@@ -117,18 +136,29 @@
       std::unordered_map<RequestFingerprint, Entry, RequestFingerprintHash>;
 
   std::uint32_t CountEnds(const Entry& entry) const;
-  bool IsProven(const Entry& entry) const;
+  bool IsProven(const RequestFingerprint& request, const Entry& entry) const;
+  // Whether another request that was there has as many ends.
+  bool IsDoubtful(const TargetRun& run,
+                  const RequestFingerprint& request,
+                  std::uint32_t ends) const;
+  void NoteAt(const TargetRun& run, const RequestFingerprint& request);
+  // Takes back refusals that rest on the end of a target for which another
+  // request turned out to be to blame.
+  void ReviewOthersAt(const TargetRun& run, const RequestFingerprint& request);
   Verdict VerdictOf(const Entry& entry, TimePoint now) const;
   QuarantineRecord ToRecord(const RequestFingerprint& request,
                             const Entry& entry,
                             TimePoint now) const;
   // Whether that changed the verdict.
   bool Clear(Entry& entry, TimePoint until, TimePoint now);
-  void Refuse(Entry& entry, TimePoint now);
+  void Refuse(Entry& entry, TimePoint from);
   void MakeRoom();
 
   QuarantineOptions options_;
   Entries entries_;
+  // What was at each target that ended, and those ends by age.
+  std::map<TargetRun, std::set<RequestFingerprint>> at_run_;
+  std::deque<TargetRun> runs_;
   std::uint64_t revision_ = 0;
 };
 
--- a/src/libs/quarantine/quarantine_view.cc
+++ b/src/libs/quarantine/quarantine_view.cc
@@ -7,13 +7,15 @@
 std::vector<CompletionObserved> QuarantineView::Adopt(
     const std::string& source,
     const std::vector<QuarantineRecord>& records,
+    bool is_whole,
     TimePoint now) {
   Source& told = sources_[source];
-  told.told_at = now;
-  told.records.clear();
+  if (is_whole) {
+    told.records.clear();
+  }
   std::vector<CompletionObserved> clearing;
   for (const QuarantineRecord& record : records) {
-    told.records.emplace(record.request, record);
+    told.records.insert_or_assign(record.request, Told{record, now});
     if (HasAlibi(record.request, now)) {
       clearing.push_back(
           {record.request, now - *completions_.Find(record.request)});
@@ -51,8 +53,8 @@
         (is_connected && !source.is_reachable)) {
       continue;
     }
-    const QuarantineRecord& record = found->second;
-    const Duration age = now - source.told_at;
+    const QuarantineRecord& record = found->second.record;
+    const Duration age = now - found->second.at;
     Judgement one{record.verdict,   record.ends, record.since + age,
                   record.remaining, name,        age};
     if (one.verdict == Verdict::kRefused && one.remaining <= age) {
--- a/src/libs/quarantine/quarantine_view.h
+++ b/src/libs/quarantine/quarantine_view.h
@@ -45,11 +45,13 @@
         own_(options.own),
         completions_(options.max_completions) {}
 
-  // All that the control node `source` tells. Returns the completions that
-  // clear requests of it, which the control nodes have to hear of.
+  // What the control node `source` tells; with `is_whole` all that it knows,
+  // and what it told before is forgotten. Returns the completions that clear
+  // requests of it, which the control nodes have to hear of.
   std::vector<CompletionObserved> Adopt(
       const std::string& source,
       const std::vector<QuarantineRecord>& records,
+      bool is_whole,
       TimePoint now);
   // What is told by nodes that can't be reached counts only where none can.
   void SetReachable(const std::string& source, bool is_reachable);
@@ -76,10 +78,13 @@
   bool any_reachable() const;
 
  private:
+  struct Told {
+    QuarantineRecord record;
+    TimePoint at;
+  };
   struct Source {
     bool is_reachable = true;
-    TimePoint told_at;
-    std::map<RequestFingerprint, QuarantineRecord> records;
+    std::map<RequestFingerprint, Told> records;
   };
 
   bool HasAlibi(const RequestFingerprint& request, TimePoint now) const;
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -48,6 +48,7 @@
                       {"slow_revision", answer.slow_revision},
                       {"slow", std::move(slow)},
                       {"quarantine_revision", answer.quarantine_revision},
+                      {"quarantine_whole", answer.is_quarantine_whole},
                       {"limits_revision", answer.limits_revision},
                       {"whole", answer.is_whole},
                       {"targets", answer.targets.value},
@@ -119,14 +120,16 @@
   const auto is_whole = Flag(*object, "whole");
   const auto slow_revision = Number(*object, "slow_revision");
   const auto quarantine_revision = Number(*object, "quarantine_revision");
+  const auto is_quarantine_whole = Flag(*object, "quarantine_whole");
   const auto limits_revision = Number(*object, "limits_revision");
   const auto gateways = Number(*object, "gateways");
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
-      !slow_revision || !quarantine_revision || !limits_revision || !gateways ||
-      !targets || members == nullptr || slow == nullptr || !slow->is_object()) {
+      !slow_revision || !quarantine_revision || !is_quarantine_whole ||
+      !limits_revision || !gateways || !targets || members == nullptr ||
+      slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
   WatchAnswer answer;
@@ -137,6 +140,7 @@
   answer.is_leader = *is_leader;
   answer.slow_revision = *slow_revision;
   answer.quarantine_revision = *quarantine_revision;
+  answer.is_quarantine_whole = *is_quarantine_whole;
   if (const json::value* records = object->if_contains("quarantine")) {
     answer.quarantine = quarantine::RecordsFromJson(*records);
     if (!answer.quarantine.has_value()) {
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -67,6 +67,9 @@
   // Requests that end targets, all that are known; only where the asker's
   // revision is another one.
   std::optional<std::vector<quarantine::QuarantineRecord>> quarantine;
+  // Whether it replaces what the node told before; one that has just started
+  // may not have heard of all yet.
+  bool is_quarantine_whole = true;
   std::uint64_t limits_revision = 0;
   // The asker's shares of all limits that targets declare; only where its
   // revision is another one.
--- a/src/plugins/control_node/limit_keeper.cc
+++ b/src/plugins/control_node/limit_keeper.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t kMostLinesASecond = 20;
+// All gateways are told at once, which takes a small node a while.
+constexpr Duration kBetweenNews = Milliseconds(250);
 
 }  // namespace
 
@@ -37,16 +39,28 @@
     }
   }
   if (is_changed) {
-    changed_.NotifyAll();
+    Publish(now);
   }
 }
 
-void LimitKeeper::SetGateways(std::vector<std::string> gateways) {
-  const std::uint64_t before = book_.revision();
+void LimitKeeper::SetGateways(std::vector<std::string> gateways,
+                              TimePoint now) {
   book_.SetGateways(std::move(gateways));
-  if (book_.revision() != before) {
-    changed_.NotifyAll();
+  Publish(now);
+}
+
+void LimitKeeper::Tick(TimePoint now) {
+  book_.Tick(now);
+  Publish(now);
+}
+
+void LimitKeeper::Publish(TimePoint now) {
+  if (book_.revision() == told_revision_ || now - told_at_ < kBetweenNews) {
+    return;
   }
+  told_revision_ = book_.revision();
+  told_at_ = now;
+  changed_.NotifyAll();
 }
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/limit_keeper.h
+++ b/src/plugins/control_node/limit_keeper.h
@@ -3,6 +3,7 @@
 #ifndef PLUGINS_CONTROL_NODE_LIMIT_KEEPER_H_
 #define PLUGINS_CONTROL_NODE_LIMIT_KEEPER_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,16 +25,23 @@
   void Note(const std::string& gateway,
             const std::vector<declared_limits::LimitStatement>& statements,
             TimePoint now);
-  void SetGateways(std::vector<std::string> gateways);
-  void Tick(TimePoint now) { book_.Tick(now); }
+  void SetGateways(std::vector<std::string> gateways, TimePoint now);
+  // To be called a few times a second.
+  void Tick(TimePoint now);
 
   const declared_limits::LimitBook& book() const { return book_; }
+  // Changes a few times a second at most, some time after the book does.
+  std::uint64_t told_revision() const { return told_revision_; }
 
  private:
+  void Publish(TimePoint now);
+
   net::FiberSignal& changed_;
   telemetry::Logger log_;
   telemetry::LineBudget lines_;
   declared_limits::LimitBook book_;
+  std::uint64_t told_revision_ = 0;
+  TimePoint told_at_;
 };
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/quarantine_keeper.cc
+++ b/src/plugins/control_node/quarantine_keeper.cc
@@ -16,8 +16,10 @@
 namespace {
 
 // All gateways are told at once, which takes a small node a while.
-constexpr Duration kBetweenNews = Milliseconds(100);
+constexpr Duration kBetweenNews = Milliseconds(250);
 constexpr std::uint32_t kMostLinesASecond = 20;
+// Gateways tell again, other control nodes answer, and a leader is found.
+constexpr Duration kSettling = Seconds(3);
 constexpr Duration kLogIsRead = Milliseconds(300);
 // Bound what an attack by many such requests adds to the log.
 constexpr Duration kBetweenSaves = Seconds(5);
@@ -154,6 +156,11 @@
 }
 
 void QuarantineKeeper::Tick(TimePoint now) {
+  first_tick_at_ = first_tick_at_.value_or(now);
+  if (!is_settled_ && now - *first_tick_at_ > kSettling) {
+    is_settled_ = true;
+    ++told_revision_;
+  }
   // A log that is read after a start gives one list after the other; the last
   // one holds.
   if (saved_at_.has_value() && now - *saved_at_ > kLogIsRead) {
@@ -163,7 +170,9 @@
       book_.Adopt(record, now);
     }
   }
-  book_.Tick(now);
+  for (const quarantine::RequestFingerprint& request : book_.Tick(now)) {
+    LogVerdict(request, now);
+  }
   Publish(now);
 }
 
@@ -192,9 +201,13 @@
   }
   published_ = book_.revision();
   published_at_ = now;
+  const auto before = quarantine::StrictlyHeld(told_);
   told_ = book_.Told(now);
   ++told_revision_;
-  changed_.NotifyAll();
+  if (quarantine::StrictlyHeld(told_) != before) {
+    urgent_revision_ = told_revision_;
+    changed_.NotifyAll();
+  }
 }
 
 void QuarantineKeeper::LogVerdict(const quarantine::RequestFingerprint& request,
--- a/src/plugins/control_node/quarantine_keeper.h
+++ b/src/plugins/control_node/quarantine_keeper.h
@@ -46,6 +46,12 @@
     return told_;
   }
   std::uint64_t told_revision() const { return told_revision_; }
+  // Whether the node has heard what there is to hear since its start. Until
+  // then gateways keep what it told them before.
+  bool is_settled() const { return is_settled_; }
+  // The revision that gateways have to be told of at once. What is suspected
+  // for one end alone reaches them with the next answer that they get anyway.
+  std::uint64_t urgent_revision() const { return urgent_revision_; }
   std::size_t size() const { return book_.size(); }
   std::uint64_t trials() const { return trials_; }
 
@@ -65,10 +71,13 @@
   quarantine::QuarantineBook book_;
   std::vector<quarantine::QuarantineRecord> told_;
   std::uint64_t told_revision_ = 0;
+  std::uint64_t urgent_revision_ = 0;
   std::uint64_t published_ = 0;  // the book's revision
   TimePoint published_at_;
   telemetry::LineBudget lines_;
   std::uint64_t trials_ = 0;
+  std::optional<TimePoint> first_tick_at_;
+  bool is_settled_ = false;
   std::vector<quarantine::QuarantineRecord> saved_;
   // Unset once what was saved has been taken over.
   std::optional<TimePoint> saved_at_;
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -34,9 +34,9 @@
     return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
            query->slow_revision != node_.slow_revision() ||
-           query->quarantine_revision != node_.quarantine().told_revision() ||
+           query->quarantine_revision < node_.quarantine().urgent_revision() ||
            (!query->asker.empty() &&
-            query->limits_revision != node_.limits().book().revision());
+            query->limits_revision != node_.limits().told_revision());
   };
   const auto has_news = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -57,11 +57,12 @@
   answer.slow_targets = node_.slow_targets();
   answer.is_whole = !knows_this_boot;
   answer.quarantine_revision = node_.quarantine().told_revision();
+  answer.is_quarantine_whole = node_.quarantine().is_settled();
   if (!knows_this_boot ||
       query->quarantine_revision != answer.quarantine_revision) {
     answer.quarantine = node_.quarantine().told();
   }
-  answer.limits_revision = node_.limits().book().revision();
+  answer.limits_revision = node_.limits().told_revision();
   if (!query->asker.empty() &&
       (!knows_this_boot || query->limits_revision != answer.limits_revision)) {
     answer.shares = node_.limits().book().SharesOf(query->asker);
@@ -110,7 +111,7 @@
   for (const auto& [name, heard_at] : gateways_) {
     names.push_back(name);
   }
-  node_.limits().SetGateways(std::move(names));
+  node_.limits().SetGateways(std::move(names), SteadyNow());
 }
 
 // Where thousands of targets announce themselves within a second, each would be
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -239,7 +239,8 @@
   node.limits_revision = answer.limits_revision;
   node.heard_at = now;
   if (answer.quarantine.has_value()) {
-    state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine, now);
+    state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine,
+                            answer.is_quarantine_whole, now);
   }
   if (answer.shares.has_value()) {
     state_.targets.limits().Adopt(node.endpoint.ToString(), *answer.shares,
--- a/src/plugins/gateway/quarantine_guard.cc
+++ b/src/plugins/gateway/quarantine_guard.cc
@@ -63,8 +63,9 @@
 void QuarantineGuard::Adopt(
     const std::string& source,
     const std::vector<quarantine::QuarantineRecord>& records,
+    bool is_whole,
     TimePoint now) {
-  for (const auto& completion : view_.Adopt(source, records, now)) {
+  for (const auto& completion : view_.Adopt(source, records, is_whole, now)) {
     Tell(completion);
   }
 }
--- a/src/plugins/gateway/quarantine_guard.h
+++ b/src/plugins/gateway/quarantine_guard.h
@@ -55,6 +55,7 @@
   // What a control node tells.
   void Adopt(const std::string& source,
              const std::vector<quarantine::QuarantineRecord>& records,
+             bool is_whole,
              TimePoint now);
   void SetReachable(const std::string& source, bool is_reachable) {
     view_.SetReachable(source, is_reachable);
--- a/tests/auto/quarantine/quarantine_world.h
+++ b/tests/auto/quarantine/quarantine_world.h
@@ -105,6 +105,7 @@
   void Report(std::size_t gateway, const Observation& observation);
   void TakeReport(std::size_t control, const Observation& observation);
   void TellGateways(std::size_t control);
+  void SaveRefusals(std::size_t control);
   void TellGateway(std::size_t control, std::size_t gateway);
   void EndTrial(const CallPointer& call);
   void StrikeFaults();
@@ -112,14 +113,22 @@
   void RestartGateway(std::size_t gateway);
   void Cut(std::size_t gateway);
   void Traffic();
+  void TickControls();
 
   WorldOptions options_;
   Random random_;
   TimePoint now_;
   TimePoint end_;
+  TimePoint next_tick_;
   std::multimap<TimePoint, std::function<void()>> events_;
   std::vector<std::unique_ptr<QuarantineBook>> controls_;
+  // By control node: news on their way, and what was told last.
   std::set<std::size_t> about_to_tell_;
+  std::map<std::size_t, TimePoint> told_at_;
+  // When one that has restarted tells gateways again.
+  std::map<std::size_t, TimePoint> settled_at_;
+  std::vector<QuarantineRecord> saved_;
+  std::map<std::size_t, std::map<RequestFingerprint, Verdict>> held_;
   std::vector<Gateway> gateways_;
   std::vector<Target> targets_;
   enum class GroupState { kOpen, kStalled, kBroken };
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -45,6 +45,7 @@
   answer.members = {"10.0.0.2:7000"};
   answer.slow_targets = {{"10.0.0.1:80", 2.5}};
   answer.quarantine_revision = 14;
+  answer.is_quarantine_whole = false;
   quarantine::QuarantineRecord record;
   record.request = {1, 2};
   record.verdict = quarantine::Verdict::kRefused;
@@ -105,6 +106,7 @@
   CHECK(answered->members == MakeAnswer().members);
   CHECK(answered->slow_targets == MakeAnswer().slow_targets);
   CHECK(answered->quarantine_revision == 14);
+  CHECK_FALSE(answered->is_quarantine_whole);
   REQUIRE(answered->quarantine.has_value());
   REQUIRE(answered->quarantine->size() == 1);
   CHECK(answered->quarantine->front().request ==
