--- a/src/plugins/gateway/relay_call_leave.cc
+++ b/src/plugins/gateway/relay_call_leave.cc
@@ -16,6 +16,8 @@
 // A run that is under way elsewhere takes longer than this as a rule; what
 // clears a popular request comes sooner.
 constexpr Duration kLongestWait = Milliseconds(400);
+// Kept back of the caller's time for the answer.
+constexpr Duration kAnswerTime = Milliseconds(50);
 constexpr Duration kBetweenAsks = Milliseconds(100);
 
 std::string Describe(const quarantine::Judgement& judgement) {
@@ -34,7 +36,7 @@
 
 bool RelayCall::AwaitLeave() {
   const TimePoint limit =
-      std::min(SteadyNow() + kLongestWait, give_up_at_ - Milliseconds(50));
+      std::min(SteadyNow() + kLongestWait, give_up_at_ - kAnswerTime);
   while (true) {
     const quarantine::Judgement judgement =
         state_.quarantine.Judge(fingerprint_, SteadyNow());
