A sidecar answers for its VM, and a gateway may know the sidecars' port

A gateway that hears nothing from a target can't tell an engine that is busy from a VM that is frozen: only control nodes ask sidecars, and what the sidecar answers waits for its engine.

What is new: "/alive" is answered by the sidecar itself, at once and without its engine; "sidecars.port" tells a gateway where sidecars listen. Without it, which is the default, nothing is different.

The samples of a gateway, a control node and a sidecar are now among those that must be accepted.

--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -48,6 +48,10 @@
   field = static_cast<std::uint32_t>(std::get<std::int64_t>(value));
 }
 
+void Assign(std::optional<std::uint32_t>& field, const KeyValue& value) {
+  Assign(field.emplace(), value);
+}
+
 void Assign(std::uint64_t& field, const KeyValue& value) {
   field = static_cast<std::uint64_t>(std::get<std::int64_t>(value));
 }
@@ -319,6 +323,11 @@
       {"control.peers_port", scope, IntegerKind{1, 65535}, Required{},
        "Port at which each control node serves the system's processes.",
        InGateway([](S & s) -> auto& { return s.control_peers_port; })});
+  specs.push_back({"sidecars.port", scope, IntegerKind{1, 65535}, Optional{},
+                   "Port of the sidecar on the VM of each target, which shows "
+                   "whether a silent target's VM responds; without it nothing "
+                   "is probed.",
+                   InGateway([](S & s) -> auto& { return s.sidecars_port; })});
   specs.push_back(
       {"limits.max_open_connections", scope, IntegerKind{1, 1'000'000},
        Integer(3'000), "Connections of callers open at a time.",
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -129,6 +129,8 @@
   SocketAddress readiness_listen;
   std::vector<SocketAddress> seeds;  // of control nodes
   std::uint32_t control_peers_port = 0;
+  // Port of the sidecar on the VM of each target; none: no VM is probed.
+  std::optional<std::uint32_t> sidecars_port;
   SocketAddress metrics_listen;
   std::uint64_t max_open_connections = 0;
   Duration drain_grace{};
--- a/src/plugins/sidecar/sidecar_call.cc
+++ b/src/plugins/sidecar/sidecar_call.cc
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+net::HttpRequest MakeLivenessRequest() {
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = kLivenessTarget;
+  return request;
+}
+
 Duration TimeoutOf(const net::HttpRequest& request) {
   const std::string_view text = request.headers.ValueOr(kTimeoutField, "");
   std::int64_t ms = 0;
--- a/src/plugins/sidecar/sidecar_call.h
+++ b/src/plugins/sidecar/sidecar_call.h
@@ -21,6 +21,11 @@
 // The body is a packing::PackedText of the body for the engine.
 inline constexpr char kPackedField[] = "Packed";
 
+// A request that the sidecar answers by itself at once. The answer shows that
+// the VM is not frozen; engines take up to 20 ms for some of their answers.
+inline constexpr char kLivenessTarget[] = "/alive";
+net::HttpRequest MakeLivenessRequest();
+
 // Returns the time that the requester allows the engine, within bounds.
 Duration TimeoutOf(const net::HttpRequest& request);
 
--- a/src/plugins/sidecar/sidecar_process.cc
+++ b/src/plugins/sidecar/sidecar_process.cc
@@ -12,6 +12,7 @@
 #include "libs/telemetry/log.h"
 #include "plugins/sidecar/engine_reader.h"
 #include "plugins/sidecar/engine_relay.h"
+#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::sidecar {
 
@@ -63,6 +64,10 @@
   }
 
   void Serve(net::HttpExchange& exchange) {
+    if (exchange.request().target == kLivenessTarget) {
+      exchange.Respond({}, "");
+      return;
+    }
     const std::string why = EngineReader::Handles(exchange.request())
                                 ? reader_.Answer(exchange)
                                 : relay_.Relay(exchange, engine_);
--- a/tests/auto/settings/parse_test.cc
+++ b/tests/auto/settings/parse_test.cc
@@ -40,7 +40,9 @@
 }
 
 TEST_CASE("each sample is accepted") {
-  for (const char* name : {"entry.toml", "control.toml", "agent.toml"}) {
+  for (const char* name :
+       {"entry.toml", "control.toml", "agent.toml", "gateway.toml",
+        "control-node.toml", "sidecar.toml"}) {
     CAPTURE(name);
     const LoadResult result = Load(kShare + name);
     const auto* errors = std::get_if<std::vector<SettingsError>>(&result);
@@ -66,6 +68,23 @@
         GroupPlace{GroupId("drafter-ranks"), RankIndex(0)});
 }
 
+TEST_CASE("a gateway without a port of sidecars is accepted") {
+  struct Row {
+    const char* line;  // replaces the port
+    std::optional<std::uint32_t> expected;
+  };
+  const Row rows[] = {{"port = 7300", 7300}, {"port = 1", 1}, {"", {}}};
+  for (const Row& row : rows) {
+    CAPTURE(row.line);
+    const LoadResult result =
+        Parse(Change("gateway.toml", "port = ", row.line), "sample.toml");
+    REQUIRE(std::holds_alternative<Settings>(result));
+    const auto& gateway =
+        std::get<GatewaySettings>(std::get<Settings>(result).role);
+    CHECK(gateway.sidecars_port == row.expected);
+  }
+}
+
 TEST_CASE("each error names its key, the value found and its line") {
   struct Row {
     const char* sample;
@@ -129,6 +148,8 @@
       {"agent.toml", "kind", "kind = \"plain\"", "engine.checks_fencing",
        "true beside engine.kind plain"},
       {"agent.toml", "services", "services = []", "services", "a list of 0"},
+      {"gateway.toml", "port = ", "port = 0", "sidecars.port", "0"},
+      {"gateway.toml", "port = ", "port = 65536", "sidecars.port", "65536"},
   };
   for (const Row& row : rows) {
     const std::string text = Change(row.sample, row.prefix, row.line);
--- a/tests/processes/platform/deployment_on_platform.sh
+++ b/tests/processes/platform/deployment_on_platform.sh
@@ -37,6 +37,7 @@
 metrics.listen = "127.0.0.1:${P}6$i"
 control.seeds = ["127.0.0.1:${P}10", "127.0.0.2:${P}10", "127.0.0.3:${P}10"]
 control.peers_port = ${P}20
+sidecars.port = ${P}90
 drain.grace_s = 8
 retries.ratio = 0.2
 retries.slack = 240
