Orders to arm go out right after a reply of the rank, never on old replies

Cause, named by two traces made apart from each other: where the round of replies before the hold took over 15 ms, all ranks were armed at once on these replies, 28.6 ms old at the median, so an order could go to a VM that had been frozen for up to 32 ms, and nobody could tell whether it was carried out. One round in three took so long, as engines answer 1 question in 25 to 30 only after 7 to 20 ms, also their own sidecar's.

Change: orders to arm are guarded (OrderGuard, pure): control nodes near the ranks poll the sidecar, which answers by itself, and send the order on a reply at most 5 ms old. A rank silent for 30 ms is not sent it (kNotSent), and the change is cleared without it, once all orders in flight are answered, so that a second frozen VM is not waited for either. An order without an answer after 6 ms is sent once more: 53 of 54 other questions to a slow engine were answered meanwhile.

Why it works: no order leaves without a sign of life that is as young as a round trip, whatever any other rank's message took. slow_reply_test passes, 0 of all freezes before the hold or the own reply stop the group; freeze_meets_change_test unchanged in its checks, with a new one for a control node that freezes while it arms.

The models follow the product: freeze_world and slow_reply_world send orders to arm through the guard. No check was changed.

--- a/src/libs/groups/engine_order.h
+++ b/src/libs/groups/engine_order.h
@@ -65,6 +65,8 @@
   // Does not fit the rank's state; was not and will not be carried out.
   kRefused,
   kUnanswered,  // no answer; may still be carried out, possibly much later
+  // The rank did not respond right before, so the order was not sent to it.
+  kNotSent,
 };
 
 struct ArmedMap {
--- a/src/libs/groups/rank_round.h
+++ b/src/libs/groups/rank_round.h
@@ -74,11 +74,17 @@
   std::string target;
   std::string content_type;
   packing::PackedText body;
+  // Whether each rank is polled first and gets the order only if it responds;
+  // see OrderGuard.
+  bool is_guarded = false;
 };
 
 // HTTP statuses of the engines' answers, in the order of the ranks; 0 means no
 // answer.
 struct MulticastResult {
+  // The rank did not respond to a poll; the order was not sent to it.
+  static constexpr std::uint32_t kNotSent = 1;
+
   std::vector<std::uint32_t> statuses;
 };
 
--- a/src/libs/groups/round_codec.cc
+++ b/src/libs/groups/round_codec.cc
@@ -140,10 +140,11 @@
   std::string target;
   std::string content_type;
   std::string body;
+  bool is_guarded = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(ranks, timeout_us, method, target, content_type, body);
+    archive(ranks, timeout_us, method, target, content_type, body, is_guarded);
   }
 };
 
@@ -359,7 +360,8 @@
   const WireMulticastOrder wire{
       ToWire(order.ranks), order.timeout / Microseconds(1),
       order.method,        order.target,
-      order.content_type,  order.body.value};
+      order.content_type,  order.body.value,
+      order.is_guarded};
   return ToBytes(wire);
 }
 
@@ -375,6 +377,7 @@
   order.target = std::move(wire->target);
   order.content_type = std::move(wire->content_type);
   order.body.value = std::move(wire->body);
+  order.is_guarded = wire->is_guarded;
   return order;
 }
 
--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -29,6 +29,7 @@
 void StepSwitch::Enter(SwitchPhase phase, TimePoint now) {
   phase_ = phase;
   phase_entered_at_ = now;
+  is_arming_abandoned_ = false;
   if (phase == SwitchPhase::kReleasing) {
     released_step_ = std::max(released_step_, switch_step_);
   }
@@ -40,7 +41,6 @@
     rank.is_copying = false;
     rank.send_next = now;
     rank.next_poll = now;
-    rank.arming_polled_at.reset();
     rank.to_disarm.reset();
   }
 }
@@ -65,7 +65,7 @@
 
 bool StepSwitch::AllRespondedSince(TimePoint since) const {
   return std::all_of(ranks_.begin(), ranks_.end(), [since](const auto& item) {
-    return item.second.responded_at > since;
+    return item.second.responded_at >= since;
   });
 }
 
@@ -254,11 +254,9 @@
   }
 }
 
-bool StepSwitch::IsUnarmedRankSilent(TimePoint now) const {
-  return std::any_of(ranks_.begin(), ranks_.end(), [&](const auto& item) {
-    const Rank& rank = item.second;
-    return !rank.may_be_armed && rank.arming_polled_at.has_value() &&
-           now - *rank.arming_polled_at > options_.liveness_timeout;
+bool StepSwitch::IsAnyOrderInFlight() const {
+  return std::any_of(ranks_.begin(), ranks_.end(), [](const auto& item) {
+    return item.second.is_order_in_flight;
   });
 }
 
@@ -374,8 +372,6 @@
       return;
     case SwitchPhase::kConfirming:
       if (AllRespondedSince(phase_entered_at_)) {
-        requires_liveness_reply_ =
-            now - phase_entered_at_ <= options_.max_liveness_round;
         ChooseStep(now);
         holding_rank_ = ranks_.begin()->first;
         Enter(SwitchPhase::kHolding, now);
@@ -393,8 +389,7 @@
         RecordArmingTime(now - phase_entered_at_);
         are_all_armed_ = true;
         Enter(SwitchPhase::kReleasing, now);
-      } else if (IsUnarmedRankSilent(now)) {
-        why_ = "a rank is silent before it is armed";
+      } else if (is_arming_abandoned_ && !IsAnyOrderInFlight()) {
         BeginClearing(now);
       }
       return;
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -19,23 +19,20 @@
 //   late order to arm an older one.
 // - Versions are never reused, and those of a successor are higher.
 //
-// A rank that can't be reached while a step is held stalls the whole group:
-// nobody can know whether it is armed, so neither a release nor clearing is
-// safe until it answers. The group then is `arming` for as long as the VM
-// beside that rank is frozen. Copies take longer than everything else, so a
-// rank that copied little may be gone long before the last one is done;
-// therefore every rank must respond again right before the hold. The exchange
-// about the hold and the liveness replies of the other ranks take another 10
-// ms; therefore a rank is armed on its own liveness reply after the hold, a few
-// ranks at a time, and a silent rank is not armed at all: the others are
-// disarmed and the old map stays. If a polling round takes long, another round
-// of liveness replies costs more than it saves, and all ranks are armed at
-// once.
+// A rank that can't be reached while a step is held stalls the whole group if
+// it may be armed: nobody can know whether it is, so neither a release nor
+// clearing is safe until it answers. The group then is `arming` for as long as
+// the VM beside that rank is frozen. Copies take longer than everything else,
+// so a rank that copied little may be gone long before the last one is done;
+// therefore every rank must respond again right before the hold. After the
+// hold, a rank gets its order to arm only right after another reply (see
+// OrderGuard), from a control node near it; a silent rank is not armed at all:
+// the others are disarmed and the old map stays. Where a control node has too
+// many ranks for that, all of them are armed at once.
 //
-// The outcome remains unknown between a rank's liveness reply and its answer to
-// the order, one and a half round trips. No owner can rule this out: an engine
-// that took the order and one that did not look the same while their VM is
-// frozen.
+// The outcome remains unknown between a rank's last reply and its answer to the
+// order, one and a half round trips. No owner can rule this out: an engine that
+// took the order and one that did not look the same while their VM is frozen.
 //
 // Once the step has begun at one rank it has begun at all ranks, and those that
 // were armed have switched; late orders to hold it or to arm for it are void.
@@ -89,25 +86,6 @@
   double arming_time_decay = 0.7;
   // A change whose preparation takes longer is abandoned; nothing is armed yet.
   Duration prepare_timeout = Seconds(20);
-  // Number of ranks that are polled and armed at a time. The higher, the longer
-  // each rank waits for the others between its liveness reply and its answer;
-  // the lower, the longer the whole arming takes, during which several VMs that
-  // freeze together may be caught partly armed and partly not.
-  std::uint32_t max_concurrent_arming = 8;
-  // Usual time from the poll to the answer to the order. A rank that takes
-  // longer does not keep the next one waiting.
-  Duration arming_slot_time = Milliseconds(6);
-  // Ranks are armed on their own liveness reply if polling all of them right
-  // before the hold took no longer than this; otherwise all at once. A second
-  // round of replies doubles the messages of the exchange; where a round takes
-  // long, the replies come too late to be of use and stall the group.
-  Duration max_liveness_round = Milliseconds(15);
-  // Polling interval for ranks while a step is held.
-  Duration held_poll_interval = Milliseconds(15);
-  // A rank that has not responded for this long since it was polled is not
-  // armed. Twice the polling interval, because one reply may get lost. The
-  // group is stalled meanwhile, and callers consider a pause of 120 ms late.
-  Duration liveness_timeout = Milliseconds(30);
   // The change is abandoned if a rank is silent for this long while copies are
   // made, because the demand that the change was made for does not last.
   Duration copy_silence_timeout = Seconds(1);
@@ -158,9 +136,8 @@
   // Returns the orders that are due.
   std::vector<RankOrder> Tick(TimePoint now);
   // Returns the ranks whose reports would advance the change: those whose
-  // copies should be done, those that must respond before the hold or before
-  // they are armed, and a few that report that the step has begun. Each counts
-  // as polled.
+  // copies should be done, those that must respond before the hold, and a few
+  // that report that the step has begun. Each counts as polled.
   std::vector<RankIndex> RanksToPoll(TimePoint now);
   // Whether the end of the phase depends on the reports of all ranks.
   bool NeedsAllReports(TimePoint now) const;
@@ -195,8 +172,8 @@
     bool is_copying = false;
     TimePoint send_next;
     TimePoint next_poll;
-    // While arming: when the rank was first polled for its liveness reply.
-    std::optional<TimePoint> arming_polled_at;
+    // `may_be_armed` before the order in flight.
+    bool might_be_armed_before = true;
     // While clearing: the version that must be disarmed before the rank can
     // prepare.
     std::optional<MapVersion> to_disarm;
@@ -215,17 +192,12 @@
   bool HasBegunAsArmed() const;
   void EndChange(TimePoint now);
   Duration PollInterval() const;
-  bool ShouldPoll(RankIndex index, const Rank& rank, TimePoint now) const;
+  bool ShouldPoll(RankIndex index, const Rank& rank) const;
   // Whether the rank has responded since the phase was entered.
   bool HasLivenessReply(const Rank& rank) const {
-    return rank.responded_at > phase_entered_at_;
+    return rank.responded_at >= phase_entered_at_;
   }
-  // Whether the rank may be ordered to arm now.
-  bool IsArmable(const Rank& rank) const {
-    return !requires_liveness_reply_ || HasLivenessReply(rank);
-  }
-  bool MayTakeArmingSlot(const Rank& rank, TimePoint now) const;
-  bool IsUnarmedRankSilent(TimePoint now) const;
+  bool IsAnyOrderInFlight() const;
   bool IsCopyingRankSilent(TimePoint now) const;
   void BeginClearing(TimePoint now);
   void GiveUp(std::string why, TimePoint now);
@@ -233,6 +205,7 @@
   void RecordArmingTime(Duration took);
   std::optional<EngineOrder> OrderFor(RankIndex index, const Rank& rank) const;
   void OnRefused(const RankOrder& order, Rank& rank, TimePoint now);
+  void OnNotSent(Rank& rank, TimePoint now);
   bool IsAwaited(const RankOrder& order) const;
 
   StepSwitchOptions options_;
@@ -259,8 +232,11 @@
   // All ranks have confirmed that they are armed with the pending map for
   // `switch_step_`.
   bool are_all_armed_ = false;
-  // Whether ranks are armed on their own liveness reply in this change.
-  bool requires_liveness_reply_ = true;
+  // While arming: no further rank is armed, and the change is cleared once all
+  // orders in flight are answered. Until then it is unknown which ranks an
+  // order has reached, and a frozen rank that was never sent one must not be
+  // waited for.
+  bool is_arming_abandoned_ = false;
   std::string why_;
   // Estimate of the step time.
   StepNumber seen_step_;
--- a/src/libs/groups/step_switch_orders.cc
+++ b/src/libs/groups/step_switch_orders.cc
@@ -29,9 +29,7 @@
       }
       return PrepareMap{pending_version_, pending_map_};
     case SwitchPhase::kArming:
-      return IsArmable(rank) ? std::optional<EngineOrder>(
-                                   ArmMap{pending_version_, switch_step_})
-                             : std::nullopt;
+      return ArmMap{pending_version_, switch_step_};
     case SwitchPhase::kHolding:
       return index == holding_rank_
                  ? std::optional<EngineOrder>(HoldStep{switch_step_})
@@ -48,12 +46,16 @@
   CheckEpoch(now);
   Advance(now);
   std::vector<RankOrder> orders;
+  if (is_arming_abandoned_) {
+    return orders;
+  }
   for (auto& [index, rank] : ranks_) {
     if (rank.is_done || rank.is_order_in_flight || now < rank.send_next) {
       continue;
     }
     if (auto order = OrderFor(index, rank)) {
       rank.is_order_in_flight = true;
+      rank.might_be_armed_before = rank.may_be_armed;
       rank.may_be_armed =
           rank.may_be_armed || std::holds_alternative<ArmMap>(*order);
       orders.push_back({index, epoch_, std::move(*order)});
@@ -63,9 +65,7 @@
 }
 
 // Whether the phase waits for a report of the rank.
-bool StepSwitch::ShouldPoll(RankIndex index,
-                            const Rank& rank,
-                            TimePoint now) const {
+bool StepSwitch::ShouldPoll(RankIndex index, const Rank& rank) const {
   // Several, so that a silent rank does not keep the change from ending.
   constexpr std::uint32_t kStepReporters = 3;
   switch (phase_) {
@@ -73,13 +73,12 @@
       return rank.is_copying && !rank.is_done;
     case SwitchPhase::kConfirming:
       return !HasLivenessReply(rank);
-    case SwitchPhase::kArming:
-      return !IsArmable(rank) && MayTakeArmingSlot(rank, now);
     case SwitchPhase::kSettling:
       return are_all_armed_ && index.value() < kStepReporters;
     case SwitchPhase::kObserving:
     case SwitchPhase::kIdle:
     case SwitchPhase::kHolding:
+    case SwitchPhase::kArming:
     case SwitchPhase::kReleasing:
     case SwitchPhase::kClearing:
       return false;
@@ -87,21 +86,6 @@
   return false;
 }
 
-// Limits the ranks that arm at a time, so that each rank's liveness reply is
-// followed by its order immediately.
-bool StepSwitch::MayTakeArmingSlot(const Rank& rank, TimePoint now) const {
-  if (rank.arming_polled_at.has_value()) {
-    return true;
-  }
-  const auto taken =
-      std::count_if(ranks_.begin(), ranks_.end(), [&](const auto& item) {
-        const Rank& other = item.second;
-        return !other.is_done && other.arming_polled_at.has_value() &&
-               now - *other.arming_polled_at < options_.arming_slot_time;
-      });
-  return taken < options_.max_concurrent_arming;
-}
-
 bool StepSwitch::NeedsAllReports(TimePoint now) const {
   // Applies to a step that was released without all ranks known to be armed,
   // and to an idle group, which begins no step. Running steps last 50 to 300
@@ -116,8 +100,6 @@
   switch (phase_) {
     case SwitchPhase::kPreparing:
       return options_.copy_poll;
-    case SwitchPhase::kArming:
-      return options_.held_poll_interval;
     default:
       return options_.poll_interval;
   }
@@ -127,13 +109,10 @@
   const Duration interval = PollInterval();
   std::vector<RankIndex> asked;
   for (auto& [index, rank] : ranks_) {
-    if (now < rank.next_poll || !ShouldPoll(index, rank, now)) {
+    if (now < rank.next_poll || !ShouldPoll(index, rank)) {
       continue;
     }
     rank.next_poll = now + interval;
-    if (phase_ == SwitchPhase::kArming && !rank.arming_polled_at.has_value()) {
-      rank.arming_polled_at = now;
-    }
     asked.push_back(index);
   }
   return asked;
@@ -185,6 +164,18 @@
     case OrderAnswer::kRefused:
       OnRefused(order, rank, now);
       break;
+    case OrderAnswer::kNotSent:
+      OnNotSent(rank, now);
+      break;
+  }
+}
+
+void StepSwitch::OnNotSent(Rank& rank, TimePoint now) {
+  rank.may_be_armed = rank.might_be_armed_before;
+  rank.send_next = now;
+  if (phase_ == SwitchPhase::kArming && !rank.may_be_armed) {
+    why_ = "a rank is silent before it is armed";
+    is_arming_abandoned_ = true;
   }
 }
 
@@ -205,7 +196,7 @@
       return;
     case SwitchPhase::kArming:
       why_ = "a rank refused to be armed";
-      BeginClearing(now);
+      is_arming_abandoned_ = true;
       return;
     case SwitchPhase::kClearing:
       if (rank.to_disarm.has_value()) {
--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -97,6 +97,19 @@
   return was_refused ? std::nullopt : std::optional<Answer>(Answer{});
 }
 
+bool EngineCalls::IsResponding(const net::Endpoint& engine,
+                               const net::HttpRequest& request,
+                               const CallTimeouts& timeouts) {
+  if (IsSidecarUsable(engine, SteadyNow())) {
+    if (auto answer =
+            TrySidecar(engine, sidecar::MakeLivenessRequest(), timeouts)) {
+      return answer->status != 0;
+    }
+  }
+  return CallDirectly(engine, request, timeouts.engine + timeouts.transit)
+             .status != 0;
+}
+
 EngineCalls::Answer EngineCalls::CallThroughNode(
     const net::Endpoint& helper,
     const net::Endpoint& engine,
--- a/src/plugins/control_node/engine_calls.h
+++ b/src/plugins/control_node/engine_calls.h
@@ -50,6 +50,11 @@
   Answer CallSidecar(const net::Endpoint& engine,
                      const net::HttpRequest& request,
                      const CallTimeouts& timeouts);
+  // Whether the engine's VM responds: its sidecar, or else the engine to
+  // `request`. Blocks the calling fiber.
+  bool IsResponding(const net::Endpoint& engine,
+                    const net::HttpRequest& request,
+                    const CallTimeouts& timeouts);
   // Like CallEngine(), but relayed by `helper`, another control node. The
   // status is the helper's, see ClassifyRelayStatus().
   Answer CallThroughNode(const net::Endpoint& helper,
--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -39,7 +39,7 @@
       links_(client),
       calls_(loop, client, sidecar_port),
       poller_(loop, calls_, domain),
-      multicaster_(loop, calls_),
+      multicaster_(loop, calls_, protocol_),
       relay_(loop),
       node_(node),
       protocol_(std::move(protocol)),
@@ -294,8 +294,9 @@
       first = std::max(first, task->unused_version());
       retired_tasks_.push_back(std::move(task));
     }
-    task = std::make_unique<GroupTask>(loop_, calls_, poller_, protocol_,
-                                       place.group, *engine, place.size, first);
+    task = std::make_unique<GroupTask>(loop_, calls_, poller_, multicaster_,
+                                       protocol_, place.group, *engine,
+                                       place.size, first);
     task->SetHelpers(Helpers());
     task->SetMayAct([this] { return node_.replica().is_leader(); });
     log_.Info("Started managing a group.", {{"group", place.group.value()},
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -45,6 +45,7 @@
   GroupTask(net::NetworkLoop& loop,
             EngineCalls& calls,
             RankPoller& poller,
+            OrderMulticaster& multicaster,
             const sidecar::EngineProtocol& protocol,
             GroupId group,
             const traffic::EngineModel& engine,
@@ -128,8 +129,8 @@
   std::function<void()> PauseBetweenMoves();
   // group_task_orders.cc
   void SendOrder(const groups::RankOrder& order);
-  // Sends an order that is the same for many ranks through the nodes that read
-  // them; returns the remaining orders.
+  // Sends an order that is the same for many ranks, or that is guarded, through
+  // the nodes that read the ranks; returns the remaining orders.
   std::vector<groups::RankOrder> SendMulticast(
       std::vector<groups::RankOrder> orders,
       TimePoint now);
@@ -140,6 +141,7 @@
   std::optional<groups::MulticastResult> RequestAnswer(
       const PollingRound& part,
       const groups::MulticastOrder& multicast);
+  groups::OrderAnswer ReadAnswer(int status) const;
   void OnAnswer(const groups::RankOrder& order, int status);
   EngineCalls::Answer SendHoldOrder(const net::Endpoint& engine,
                                     const net::HttpRequest& request);
@@ -148,6 +150,7 @@
   net::NetworkLoop& loop_;
   EngineCalls& calls_;
   RankPoller& poller_;
+  OrderMulticaster& multicaster_;
   const sidecar::EngineProtocol& protocol_;
   std::function<bool()> may_act_;
   GroupId group_;
--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -24,6 +24,16 @@
 constexpr Duration kMapTransit = Milliseconds(80);
 constexpr Duration kOrderTimePerRank = Milliseconds(1);
 
+// Maximum number of ranks to which one node sends guarded orders. With 48 ranks
+// on 0.15 of a core, replies came too late, and most changes were given up.
+constexpr std::size_t kMaxGuardedRanks = 24;
+
+// Whether the order must not be sent to a rank whose VM is frozen: if a rank
+// may be armed and does not answer, the group is stalled until it does.
+bool IsGuarded(const groups::EngineOrder& order) {
+  return std::holds_alternative<groups::ArmMap>(order);
+}
+
 }  // namespace
 
 EngineCalls::CallTimeouts GroupTask::TimeoutFor(
@@ -56,10 +66,18 @@
 }
 
 void GroupTask::OnAnswer(const groups::RankOrder& order, int status) {
-  switch_.OnAnswer(order,
-                   status == 0 ? groups::OrderAnswer::kUnanswered
-                               : protocol_.read_answer(status),
-                   SteadyNow());
+  switch_.OnAnswer(order, ReadAnswer(status), SteadyNow());
+}
+
+groups::OrderAnswer GroupTask::ReadAnswer(int status) const {
+  switch (status) {
+    case 0:
+      return groups::OrderAnswer::kUnanswered;
+    case groups::MulticastResult::kNotSent:
+      return groups::OrderAnswer::kNotSent;
+    default:
+      return protocol_.read_answer(status);
+  }
 }
 
 // Orders to prepare and to arm may reach a rank late without harm, so they may
@@ -68,7 +86,8 @@
 std::vector<groups::RankOrder> GroupTask::SendMulticast(
     std::vector<groups::RankOrder> orders,
     TimePoint now) {
-  if (orders.size() <= kMaxDirectCalls) {
+  if (orders.empty() ||
+      (orders.size() <= kMaxDirectCalls && !IsGuarded(orders.front().order))) {
     return orders;
   }
   const groups::RankOrder first = orders.front();
@@ -78,13 +97,16 @@
       ranks.push_back(order.rank);
     }
   }
-  const groups::MulticastOrder multicast = MulticastOrderOf(first);
+  const groups::MulticastOrder whole = MulticastOrderOf(first);
   std::set<RankIndex> sent;
   for (const PollingRound& part : schedule_.SplitByReader(ranks, now)) {
-    if (!part.reader.has_value()) {
+    groups::MulticastOrder multicast = whole;
+    multicast.is_guarded =
+        IsGuarded(first.order) && part.ranks.size() <= kMaxGuardedRanks;
+    if (!part.reader.has_value() && !multicast.is_guarded) {
       continue;
     }
-    SendMulticastPart(part, first, multicast);
+    SendMulticastPart(part, first, std::move(multicast));
     sent.insert(part.ranks.begin(), part.ranks.end());
   }
   std::erase_if(orders, [&](const groups::RankOrder& order) {
@@ -115,7 +137,8 @@
   Spawn([this, part, order, multicast = std::move(multicast)] {
     const TimePoint asked = SteadyNow();
     const auto answer = RequestAnswer(part, multicast);
-    if (!answer.has_value() && !silence_.WasLateSince(asked, SteadyNow())) {
+    if (!answer.has_value() && part.reader.has_value() &&
+        !silence_.WasLateSince(asked, SteadyNow())) {
       schedule_.StartCooldown(*part.reader, SteadyNow());
     }
     groups::RankOrder one = order;
@@ -134,6 +157,9 @@
   if (!may_act_()) {
     return std::nullopt;
   }
+  if (!part.reader.has_value()) {
+    return multicaster_.Multicast(multicast);
+  }
   const EngineCalls::Answer answer =
       calls_.CallNode(*part.reader, OrderMulticaster::RequestFor(multicast),
                       OrderMulticaster::TimeoutFor(multicast) + kOrderTransit);
--- a/tests/auto/control_node/rank_poller_test.cc
+++ b/tests/auto/control_node/rank_poller_test.cc
@@ -20,6 +20,7 @@
 #include "plugins/control_node/order_multicaster.h"
 #include "plugins/sidecar/engine_reader.h"
 #include "plugins/sidecar/engine_relay.h"
+#include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::control_node {
 namespace {
@@ -64,6 +65,10 @@
   net::Endpoint at;
   int step = 0;
   bool is_silent = false;
+  bool is_frozen = false;  // its VM; the sidecar is silent, too
+  // Does not answer an order until it gets another one.
+  bool answers_only_repeated = false;
+  int orders = 0;
   std::string last_order;
   int active_calls = 0;
 };
@@ -83,7 +88,8 @@
     }
     calls_ = std::make_unique<EngineCalls>(loop_, links_, sidecar_port_);
     poller_ = std::make_unique<RankPoller>(loop_, *calls_, kDomain);
-    multicaster_ = std::make_unique<OrderMulticaster>(loop_, *calls_);
+    multicaster_ =
+        std::make_unique<OrderMulticaster>(loop_, *calls_, protocol_);
   }
 
   groups::RoundResponse Read(placement::ReadingMark mark,
@@ -91,16 +97,19 @@
     groups::RoundRequest question{kGroup, mark, 1.0, counters, Addresses()};
     return poller_->Read(question);
   }
-  groups::MulticastResult Multicast(const std::string& body) {
+  groups::MulticastResult Multicast(const std::string& body,
+                                    bool is_guarded = false) {
     return multicaster_->Multicast({Addresses(), Milliseconds(50), "POST",
-                                    "/order", "text/plain",
-                                    packing::Pack(body)});
+                                    "/order", "text/plain", packing::Pack(body),
+                                    is_guarded});
   }
   Engine& engine(std::size_t index) { return *engines_[index]; }
 
   void Stop() {
     for (const auto& engine : engines_) {
       engine->is_silent = false;
+      engine->is_frozen = false;
+      engine->answers_only_repeated = false;
       while (engine->active_calls > 0) {
         loop_.SleepFor(Milliseconds(10));
       }
@@ -134,8 +143,17 @@
     options.listen.port = sidecar_port_;
     engine.sidecar_server = std::make_unique<links::LinkServer>(
         loop_, options, authenticator_,
-        [&engine](net::HttpExchange& exchange) {
-          if (sidecar::EngineReader::Handles(exchange.request())) {
+        [this, &engine](net::HttpExchange& exchange) {
+          if (engine.is_frozen) {
+            ++engine.active_calls;
+            while (engine.is_frozen) {
+              loop_.SleepFor(Milliseconds(10));
+            }
+            --engine.active_calls;
+          }
+          if (exchange.request().target == sidecar::kLivenessTarget) {
+            exchange.Respond({}, "");
+          } else if (sidecar::EngineReader::Handles(exchange.request())) {
             engine.reader->Answer(exchange);
           } else {
             engine.relay->Relay(exchange, engine.at);
@@ -153,6 +171,10 @@
     }
     if (exchange.request().method == "POST") {
       engine.last_order = exchange.request().body;
+      const int number = ++engine.orders;
+      while (engine.answers_only_repeated && engine.orders == number) {
+        loop_.SleepFor(Milliseconds(1));
+      }
     }
     net::HttpResponseHead head;
     head.status = exchange.request().method == "POST" ? net::status::kAccepted
@@ -164,6 +186,7 @@
   net::NetworkLoop& loop_;
   std::shared_ptr<const net::LinkAuthenticator> authenticator_;
   links::LinkClient links_;
+  sidecar::EngineProtocol protocol_ = PlainProtocol();
   std::uint16_t sidecar_port_ = 0;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::unique_ptr<EngineCalls> calls_;
@@ -272,5 +295,43 @@
   });
 }
 
+// Guards against a group that is stalled for as long as a VM is frozen: an
+// order to arm that is sent to a frozen VM may be carried out when it wakes.
+TEST_CASE("a guarded order is not sent to a rank on a frozen VM") {
+  WithFixture([](RankFixture& fixture) {
+    fixture.engine(1).is_frozen = true;
+    std::vector<std::uint32_t> statuses(kRanks);
+    for (int i = 0; i < kMaxTries &&
+                    (statuses[0] != kAccepted || statuses[2] != kAccepted);
+         ++i) {
+      const groups::MulticastResult answer = fixture.Multicast("arm", true);
+      REQUIRE(answer.statuses.size() == kRanks);
+      CHECK(answer.statuses[1] == groups::MulticastResult::kNotSent);
+      statuses[0] = std::max(statuses[0], answer.statuses[0]);
+      statuses[2] = std::max(statuses[2], answer.statuses[2]);
+    }
+    CHECK(statuses[0] == kAccepted);
+    CHECK(statuses[2] == kAccepted);
+    CHECK(fixture.engine(0).last_order == "arm");
+    CHECK(fixture.engine(1).orders == 0);
+    // It wakes; nothing is left that could reach it late.
+    fixture.Stop();
+    CHECK(fixture.engine(1).orders == 0);
+  });
+}
+
+// Guards against a group that is stalled for 20 ms because one engine answers
+// an order that late.
+TEST_CASE("a guarded order that is not answered soon is sent once more") {
+  WithFixture([](RankFixture& fixture) {
+    fixture.engine(1).answers_only_repeated = true;
+    std::uint32_t status = 0;
+    for (int i = 0; i < kMaxTries && status != kAccepted; ++i) {
+      status = fixture.Multicast("arm", true).statuses[1];
+    }
+    CHECK(status == kAccepted);
+  });
+}
+
 }  // namespace
 }  // namespace bilberryspool::control_node
--- a/tests/auto/groups/freeze_meets_change_test.cc
+++ b/tests/auto/groups/freeze_meets_change_test.cc
@@ -13,6 +13,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <cstdint>
 
 #include "auto/groups/freeze_world.h"
@@ -143,5 +144,25 @@
   }
 }
 
+// Guards against a group that is stalled for as long as the VM of a control
+// node is frozen that sends orders to arm for the owner.
+TEST_CASE("a control node that freezes while it arms ranks delays the change") {
+  for (const std::size_t node : {std::size_t{1}, std::size_t{2}}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      for (Duration begin{}; begin < kSweepEnd; begin += kSweepStep) {
+        CAPTURE(node);
+        CAPTURE(seed);
+        CAPTURE(begin.count());
+        FreezeWorld world(seed);
+        world.FreezeNode(node, begin, kFreeze);
+        world.RunChange(kFreeze + Seconds(2));
+        CHECK(world.held() <= kMaxStall);
+        CHECK(world.group().mixed_map_steps() == 0);
+        CHECK(world.phase() == SwitchPhase::kIdle);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::groups
--- a/tests/auto/groups/freeze_world.cc
+++ b/tests/auto/groups/freeze_world.cc
@@ -13,6 +13,12 @@
 constexpr Duration kOrderTimeout = Milliseconds(80);
 constexpr Duration kReportTimeout = Milliseconds(300);
 constexpr Duration kReportInterval = Milliseconds(250);
+constexpr std::size_t kOwner = 0;
+constexpr std::size_t kOtherNodes = 2;
+// Number of ranks that a node arms at a time, and how long the owner waits for
+// it, as with real nodes.
+constexpr std::size_t kMaxGuardedAtOnce = 4;
+constexpr Duration kBatchTimeout = Milliseconds(210);
 
 std::shared_ptr<const placement::ExpertMap> AnyMap() {
   auto map = std::make_shared<placement::ExpertMap>(1, FreezeWorld::kRanks);
@@ -29,6 +35,21 @@
 
 }  // namespace
 
+struct FreezeWorld::GuardedRank {
+  OrderGuard guard;
+  bool is_over = false;  // the order was sent or given up
+};
+
+// Orders to arm on their way through one node.
+struct FreezeWorld::ArmingBatch {
+  std::size_t node = 0;
+  std::vector<RankOrder> orders;
+  std::vector<OrderAnswer> answers;
+  std::size_t next = 0;
+  std::size_t missing = 0;
+  bool is_over = false;  // the owner no longer waits
+};
+
 FreezeWorld::FreezeWorld(std::uint64_t seed, StepSwitchOptions options)
     : random_(seed),
       step_due_(now_),
@@ -48,6 +69,12 @@
   frozen_[rank] = {change_at_ + begin, change_at_ + begin + length};
 }
 
+void FreezeWorld::FreezeNode(std::size_t node,
+                             Duration begin,
+                             Duration length) {
+  frozen_nodes_[node] = {change_at_ + begin, change_at_ + begin + length};
+}
+
 void FreezeWorld::RunChange(Duration length) {
   held_ = Duration::zero();
   arms_.clear();
@@ -90,8 +117,18 @@
     poll_due_ = now_ + kReportInterval;
     PollAll();
   }
+  std::array<std::vector<RankOrder>, kOtherNodes> batches;
   for (const RankOrder& order : owner_.Tick(now_)) {
-    Send(order);
+    if (std::holds_alternative<ArmMap>(order.order)) {
+      batches.at(NodeFor(order.rank) - 1).push_back(order);
+    } else {
+      Send(order);
+    }
+  }
+  for (std::size_t i = 0; i < kOtherNodes; ++i) {
+    if (!batches.at(i).empty()) {
+      SendBatch(i + 1, std::move(batches.at(i)));
+    }
   }
   for (const RankIndex rank : owner_.RanksToPoll(now_)) {
     Poll(rank);
@@ -115,14 +152,38 @@
   events_.emplace(when, std::move(what));
 }
 
-TimePoint FreezeWorld::OwnerDone(TimePoint when) {
-  owner_free_at_ = std::max(when, owner_free_at_) + kOwnerProcessingTime;
-  return owner_free_at_;
+TimePoint FreezeWorld::NodeDone(std::size_t node, TimePoint when) {
+  TimePoint& free_at = free_at_.at(node);
+  free_at = NodeAwakeAt(node, std::max(when, free_at) + kOwnerProcessingTime);
+  return free_at;
+}
+
+TimePoint FreezeWorld::NodeAwakeAt(std::size_t node, TimePoint when) const {
+  const auto found = frozen_nodes_.find(node);
+  const bool is_frozen = found != frozen_nodes_.end() &&
+                         when >= found->second.begin &&
+                         when < found->second.end;
+  return is_frozen ? found->second.end : when;
+}
+
+void FreezeWorld::AtNodeTimer(std::size_t node,
+                              TimePoint when,
+                              std::function<void()> what) {
+  At(NodeAwakeAt(node, when), std::move(what));
+}
+
+std::size_t FreezeWorld::NodeFor(RankIndex rank) const {
+  const std::size_t first = 1 + rank.value() % kOtherNodes;
+  const std::size_t second = kOtherNodes + 1 - first;
+  return failed_nodes_.contains(first) ? second : first;
 }
 
-void FreezeWorld::AtOwner(TimePoint arrives, std::function<void()> what) {
-  At(arrives,
-     [this, arrives, what = std::move(what)] { At(OwnerDone(arrives), what); });
+void FreezeWorld::AtNode(std::size_t node,
+                         TimePoint arrives,
+                         std::function<void()> what) {
+  At(arrives, [this, node, arrives, what = std::move(what)] {
+    At(NodeDone(node, arrives), what);
+  });
 }
 
 TimePoint FreezeWorld::AwakeAt(RankIndex rank, TimePoint when) const {
@@ -134,30 +195,137 @@
 }
 
 void FreezeWorld::Send(const RankOrder& order) {
+  SendToRank(kOwner, order, [this, order](OrderAnswer answer) {
+    owner_.OnAnswer(order, answer, now_);
+  });
+}
+
+void FreezeWorld::SendToRank(
+    std::size_t node,
+    const RankOrder& order,
+    const std::function<void(OrderAnswer)>& on_answer) {
   RecordSent(order);
   auto is_over = std::make_shared<bool>(false);
-  At(now_ + kOrderTimeout, [this, order, is_over] {
+  AtNodeTimer(node, now_ + kOrderTimeout, [on_answer, is_over] {
     if (!std::exchange(*is_over, true)) {
-      owner_.OnAnswer(order, OrderAnswer::kUnanswered, now_);
+      on_answer(OrderAnswer::kUnanswered);
     }
   });
   const TimePoint arrives =
-      AwakeAt(order.rank, OwnerDone(now_) + RandomLatency());
-  At(arrives, [this, order, is_over, arrives] {
+      AwakeAt(order.rank, NodeDone(node, now_) + RandomLatency());
+  At(arrives, [this, node, order, on_answer, is_over, arrives] {
     const OrderAnswer answer = group_.Execute(order);
     const TimePoint leaves = AwakeAt(order.rank, arrives + kProcessingTime);
-    AtOwner(leaves + RandomLatency(), [this, order, is_over, answer, leaves] {
-      if (!std::exchange(*is_over, true)) {
-        RecordAnswerSent(order, leaves);
-        owner_.OnAnswer(order, answer, now_);
+    AtNode(node, leaves + RandomLatency(),
+           [this, order, on_answer, is_over, answer, leaves] {
+             if (!std::exchange(*is_over, true)) {
+               RecordAnswerSent(order, leaves);
+               on_answer(answer);
+             }
+           });
+  });
+}
+
+void FreezeWorld::SendBatch(std::size_t node, std::vector<RankOrder> orders) {
+  auto batch = std::make_shared<ArmingBatch>();
+  batch->node = node;
+  batch->missing = orders.size();
+  batch->answers.resize(orders.size(), OrderAnswer::kUnanswered);
+  batch->orders = std::move(orders);
+  At(now_ + kBatchTimeout, [this, batch] {
+    if (!std::exchange(batch->is_over, true)) {
+      failed_nodes_.insert(batch->node);
+      for (const RankOrder& order : batch->orders) {
+        owner_.OnAnswer(order, OrderAnswer::kUnanswered, now_);
       }
-    });
+    }
+  });
+  AtNode(node, NodeDone(kOwner, now_) + RandomLatency(), [this, batch] {
+    const std::size_t at_once =
+        std::min(kMaxGuardedAtOnce, batch->orders.size());
+    for (std::size_t i = 0; i < at_once; ++i) {
+      ArmNext(batch);
+    }
+  });
+}
+
+void FreezeWorld::ArmNext(const std::shared_ptr<ArmingBatch>& batch) {
+  if (batch->next < batch->orders.size()) {
+    StepGuard(batch, batch->next++, std::make_shared<GuardedRank>());
+  }
+}
+
+void FreezeWorld::StepGuard(const std::shared_ptr<ArmingBatch>& batch,
+                            std::size_t index,
+                            const std::shared_ptr<GuardedRank>& rank) {
+  if (rank->is_over) {
+    return;
+  }
+  switch (rank->guard.Next(now_)) {
+    case OrderGuard::Step::kPoll:
+      PollForGuard(batch, index, rank);
+      return;
+    case OrderGuard::Step::kWait:
+      return;
+    case OrderGuard::Step::kSend:
+      rank->is_over = true;
+      SendToRank(batch->node, batch->orders[index],
+                 [this, batch, index](OrderAnswer answer) {
+                   OnArmAnswered(batch, index, answer);
+                 });
+      return;
+    case OrderGuard::Step::kGiveUp:
+      rank->is_over = true;
+      OnArmAnswered(batch, index, OrderAnswer::kNotSent);
+      return;
+  }
+}
+
+void FreezeWorld::PollForGuard(const std::shared_ptr<ArmingBatch>& batch,
+                               std::size_t index,
+                               const std::shared_ptr<GuardedRank>& rank) {
+  const RankIndex polled = batch->orders[index].rank;
+  const TimePoint polled_at = now_;
+  AtNodeTimer(batch->node, rank->guard.wait_until(),
+              [this, batch, index, rank] { StepGuard(batch, index, rank); });
+  const TimePoint arrives =
+      AwakeAt(polled, NodeDone(batch->node, now_) + RandomLatency());
+  At(arrives, [this, batch, index, rank, polled, polled_at, arrives] {
+    const TimePoint leaves = AwakeAt(polled, arrives + kProcessingTime);
+    AtNode(batch->node, leaves + RandomLatency(),
+           [this, batch, index, rank, polled, polled_at, leaves] {
+             if (rank->is_over) {
+               return;
+             }
+             report_sent_at_[polled] = leaves;
+             rank->guard.OnReply(polled_at);
+             StepGuard(batch, index, rank);
+           });
+  });
+}
+
+void FreezeWorld::OnArmAnswered(const std::shared_ptr<ArmingBatch>& batch,
+                                std::size_t index,
+                                OrderAnswer answer) {
+  batch->answers[index] = answer;
+  ArmNext(batch);
+  if (--batch->missing > 0) {
+    return;
+  }
+  AtNode(kOwner, NodeDone(batch->node, now_) + RandomLatency(), [this, batch] {
+    if (std::exchange(batch->is_over, true)) {
+      return;
+    }
+    for (std::size_t i = 0; i < batch->orders.size(); ++i) {
+      owner_.OnAnswer(batch->orders[i], batch->answers[i], now_);
+    }
   });
 }
 
 void FreezeWorld::Poll(RankIndex rank) {
   const TimePoint asked = now_;
-  const TimePoint arrives = AwakeAt(rank, OwnerDone(now_) + RandomLatency());
+  const TimePoint arrives =
+      AwakeAt(rank, NodeDone(kOwner, now_) + RandomLatency());
   At(arrives, [this, rank, asked, arrives] {
     const EngineReport report = group_.Report(rank);
     const TimePoint leaves = AwakeAt(rank, arrives + kProcessingTime);
@@ -165,7 +333,7 @@
     if (back - asked > kReportTimeout) {
       return;
     }
-    AtOwner(back, [this, rank, asked, report, leaves] {
+    AtNode(kOwner, back, [this, rank, asked, report, leaves] {
       report_sent_at_[rank] = leaves;
       owner_.OnReport(rank, report, asked, now_);
     });
--- a/tests/auto/groups/freeze_world.h
+++ b/tests/auto/groups/freeze_world.h
@@ -1,5 +1,7 @@
 // Simulates one owner of a step switch and a group of 16 ranks whose messages
-// have latency, with VMs that freeze once.
+// have latency, with VMs that freeze once. Orders to arm go through two other
+// control nodes, each of which sends them to its half of the ranks, or to all
+// of them if the other one does not answer.
 //
 // A frozen VM neither sends nor receives; its engine continues with the group.
 // Messages to it arrive when it wakes; messages that it had sent before arrive
@@ -8,14 +10,19 @@
 #ifndef AUTO_GROUPS_FREEZE_WORLD_H_
 #define AUTO_GROUPS_FREEZE_WORLD_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <vector>
 
 #include "auto/groups/fake_group.h"
 #include "libs/base/random.h"
+#include "libs/groups/order_guard.h"
 #include "libs/groups/step_switch.h"
 
 namespace bilberryspool::groups {
@@ -30,7 +37,8 @@
   // Time from the arrival of a message until its answer is sent.
   static constexpr Duration kProcessingTime = Microseconds(400);
   static constexpr Duration kRoundTrip = kMaxLatency * 2 + kProcessingTime;
-  // The owner handles one message at a time, sent or received.
+  // The owner and the two other nodes handle one message at a time, sent or
+  // received.
   static constexpr Duration kOwnerProcessingTime = Microseconds(200);
   static constexpr Duration kStep = Milliseconds(40);
 
@@ -39,6 +47,8 @@
   // Freezes the VM of a rank from `begin` after the start of the change; may be
   // called for several ranks.
   void Freeze(RankIndex rank, Duration begin, Duration length);
+  // Likewise the VM of one of the two nodes (1 or 2) that send orders to arm.
+  void FreezeNode(std::size_t node, Duration begin, Duration length);
   // Begins a change and runs for `length`.
   void RunChange(Duration length);
 
@@ -65,13 +75,36 @@
   void AdvanceTime();
   Duration TimeStep() const;
   void At(TimePoint when, std::function<void()> what);
-  // When the owner has handled a message that it starts to handle at `when`.
-  TimePoint OwnerDone(TimePoint when);
-  // Schedules the handling of a message to the owner.
-  void AtOwner(TimePoint arrives, std::function<void()> what);
+  struct ArmingBatch;
+  struct GuardedRank;
+
+  // When the node has handled a message that it starts to handle at `when`.
+  TimePoint NodeDone(std::size_t node, TimePoint when);
+  // Schedules the handling of a message to the node.
+  void AtNode(std::size_t node, TimePoint arrives, std::function<void()> what);
   Duration RandomLatency() { return random_.Between(kMinLatency, kMaxLatency); }
   TimePoint AwakeAt(RankIndex rank, TimePoint when) const;
+  TimePoint NodeAwakeAt(std::size_t node, TimePoint when) const;
+  // Like At(), for a timer of the node.
+  void AtNodeTimer(std::size_t node,
+                   TimePoint when,
+                   std::function<void()> what);
+  std::size_t NodeFor(RankIndex rank) const;
   void Send(const RankOrder& order);
+  void SendToRank(std::size_t node,
+                  const RankOrder& order,
+                  const std::function<void(OrderAnswer)>& on_answer);
+  void SendBatch(std::size_t node, std::vector<RankOrder> orders);
+  void ArmNext(const std::shared_ptr<ArmingBatch>& batch);
+  void StepGuard(const std::shared_ptr<ArmingBatch>& batch,
+                 std::size_t index,
+                 const std::shared_ptr<GuardedRank>& rank);
+  void OnArmAnswered(const std::shared_ptr<ArmingBatch>& batch,
+                     std::size_t index,
+                     OrderAnswer answer);
+  void PollForGuard(const std::shared_ptr<ArmingBatch>& batch,
+                    std::size_t index,
+                    const std::shared_ptr<GuardedRank>& rank);
   void Poll(RankIndex rank);
   void PollAll();
   void BeginSteps();
@@ -83,11 +116,14 @@
   TimePoint change_at_;
   TimePoint step_due_;
   TimePoint poll_due_;
-  TimePoint owner_free_at_;
+  // By node; the first one is the owner.
+  std::array<TimePoint, 3> free_at_;
   FakeGroup group_{kRanks};
   StepSwitch owner_;
   std::multimap<TimePoint, std::function<void()>> events_;
   std::map<RankIndex, Frozen> frozen_;
+  std::map<std::size_t, Frozen> frozen_nodes_;
+  std::set<std::size_t> failed_nodes_;  // as the owner knows
   // When each rank sent the last of its reports that have arrived.
   std::map<RankIndex, TimePoint> report_sent_at_;
   std::map<RankIndex, UnknownOutcomePeriod> arms_;
--- a/tests/auto/groups/round_codec_test.cc
+++ b/tests/auto/groups/round_codec_test.cc
@@ -119,7 +119,8 @@
                              "POST",
                              "/order",
                              "application/json",
-                             packing::Pack("{}")};
+                             packing::Pack("{}"),
+                             true};
   const auto got = DecodeMulticastOrder(Encode(order));
   REQUIRE(got.has_value());
   REQUIRE(got->ranks.size() == 1);
@@ -130,6 +131,7 @@
   CHECK(got->target == order.target);
   CHECK(got->content_type == order.content_type);
   CHECK(got->body == order.body);
+  CHECK(got->is_guarded == order.is_guarded);
   const auto answer =
       DecodeMulticastResult(Encode(MulticastResult{{202, 0, 409}}));
   REQUIRE(answer.has_value());
--- a/tests/auto/groups/step_switch_test.cc
+++ b/tests/auto/groups/step_switch_test.cc
@@ -38,6 +38,8 @@
   // For each rank in each iteration: its VM freezes for up to 4 s. It reports
   // nothing, and orders to it are carried out when it wakes.
   double freeze = 0.0;
+  // That a rank on a frozen VM is found silent and is not sent an order to arm.
+  double not_sent = 0.0;
 };
 
 // Runs owners of the switch against the group, 10 ms per iteration.
@@ -136,6 +138,11 @@
 
   void Send(const RankOrder& order) {
     if (IsFrozen(order.rank)) {
+      if (std::holds_alternative<ArmMap>(order.order) &&
+          random_.Chance(chances_.not_sent)) {
+        owner_->OnAnswer(order, OrderAnswer::kNotSent, now_);
+        return;
+      }
       // The order may also have been carried out right before the freeze.
       if (random_.Chance(0.5)) {
         group_.Execute(order);
@@ -194,6 +201,9 @@
       {"VMs freeze and answers are lost", 0.2, 0.0, 0.0, 0.0, 0.002},
       {"VMs freeze, owners change, orders are late", 0.1, 0.2, 0.005, 0.0,
        0.001},
+      {"VMs freeze and are found silent", 0.2, 0.0, 0.0, 0.0, 0.002, 0.7},
+      {"VMs freeze and are found silent, owners change, orders are late", 0.1,
+       0.2, 0.005, 0.0, 0.002, 0.7},
   };
   for (const FaultChances& chances : cases) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -276,6 +286,9 @@
     }
   }
   void Silence(RankIndex rank) { silent_.insert(rank); }
+  // Whether orders to arm reach silent ranks, or are not sent to them because
+  // they do not respond.
+  void SetGuarded(bool is_guarded) { is_guarded_ = is_guarded; }
   // Delivers a report that the rank sent at `responded_at` only now.
   void DeliverLate(RankIndex rank, TimePoint responded_at) {
     owner_.OnReport(rank, group_.Report(rank), responded_at, responded_at);
@@ -289,6 +302,7 @@
     group_.Execute(*begun_);
   }
   bool has_held() const { return has_held_; }
+  int mixed_map_steps() const { return group_.mixed_map_steps(); }
   int copy_orders() const { return copy_orders_; }
   int poll_count(RankIndex rank) { return poll_counts_[rank]; }
   MapVersion version() const { return owner_.version(); }
@@ -303,7 +317,9 @@
 
   OrderAnswer AnswerTo(const RankOrder& order) {
     if (silent_.contains(order.rank)) {
-      return OrderAnswer::kUnanswered;
+      return is_guarded_ && std::holds_alternative<ArmMap>(order.order)
+                 ? OrderAnswer::kNotSent
+                 : OrderAnswer::kUnanswered;
     }
     const bool copies = std::holds_alternative<PrepareMap>(order.order) &&
                         copying_ == order.rank;
@@ -324,8 +340,56 @@
   std::map<RankIndex, int> poll_counts_;
   int copy_orders_ = 0;
   bool has_held_ = false;
+  bool is_guarded_ = true;
 };
 
+// Guards against a group that is stalled for as long as VMs are frozen that
+// were never sent an order to arm, also where several of them freeze together.
+TEST_CASE(
+    "a change is cleared without the ranks that were not sent the order") {
+  const std::vector<std::vector<std::uint32_t>> silent_sets = {
+      {1}, {kRanks - 1}, {1, 2}, {1, kRanks - 1}, {1, 2, 3}};
+  for (const std::vector<std::uint32_t>& silent : silent_sets) {
+    CAPTURE(silent.size());
+    CAPTURE(silent.front());
+    SilentRankWorld world;
+    const MapVersion before = world.version();
+    world.Begin();
+    REQUIRE(world.RunUntil(SwitchPhase::kHolding));
+    for (const std::uint32_t rank : silent) {
+      world.Silence(RankIndex(rank));
+    }
+    CHECK(world.RunUntil(SwitchPhase::kClearing));
+    CHECK(world.RunUntil(SwitchPhase::kReleasing));
+    world.RunIteration();
+    world.RunSteps();
+    CHECK(world.mixed_map_steps() == 0);
+    CHECK(world.version() == before);
+    world.Wake();
+    world.Run(Seconds(2));
+    CHECK(world.phase() == SwitchPhase::kIdle);
+    CHECK(world.mixed_map_steps() == 0);
+  }
+}
+
+// Guards against a step that begins with two maps because a rank that an
+// earlier order may have reached counts as one that was never sent any.
+TEST_CASE("a rank that may have got an earlier order is waited for") {
+  SilentRankWorld world;
+  world.Begin();
+  REQUIRE(world.RunUntil(SwitchPhase::kHolding));
+  world.SetGuarded(false);
+  world.Silence(RankIndex(1));
+  world.RunIteration();
+  world.SetGuarded(true);
+  world.Run(Seconds(1));
+  CHECK(world.phase() == SwitchPhase::kArming);
+  world.Wake();
+  CHECK(world.RunUntil(SwitchPhase::kSettling));
+  world.RunSteps();
+  CHECK(world.mixed_map_steps() == 0);
+}
+
 // A rank confirms its copies immediately and its VM freezes; the last of the
 // others confirms 350 ms later, the step is held, and the frozen rank can't be
 // armed. Guards against a group that is stalled for as long as the VM is frozen
