A reply to the leader counts by when it was asked for

Cause: GroupTask::RequestReport passed the time of arrival as the time at which the rank responded, against the contract of StepSwitch::OnReport. A reply sent before the hold that arrived while the step was held counted as one sent after it, and a VM frozen in between was sent the order to arm.

PollRanks did it right already.

--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -177,7 +177,8 @@
       }
       return;
     }
-    ApplyReport(rank, *report, answer.as_of, SteadyNow());
+    // The reply may have been sent long before it arrived.
+    ApplyReport(rank, *report, answer.as_of, asked);
     Advance();
   });
 }
