A new leader names ranks that fell silent before its term

Callers saw: they left a frozen engine after 2 s without a word, and their runs went on for nobody.

Cause: SilentRanks ignored ranks that had never responded to this leader. After a change of leader a rank that was frozen already was never missing, and the old leader's word was taken back.

The new case of silent_ranks_test fails on the code before (missing 0 of 1 and 0 of 38).

Ranks that were polled in vain from the start count, with the same three polls over half a second, and with the same exception where half of all polled ranks are silent.

--- a/src/libs/groups/silent_ranks.cc
+++ b/src/libs/groups/silent_ranks.cc
@@ -1,5 +1,7 @@
 #include "libs/groups/silent_ranks.h"
 
+#include <algorithm>
+
 namespace bilberryspool::groups {
 
 namespace {
@@ -17,15 +19,19 @@
 }
 
 void SilentRanks::OnTimeout(RankIndex rank, TimePoint now) {
-  const auto found = ranks_.find(rank);
-  if (found == ranks_.end()) {
-    return;
-  }
-  if (found->second.unanswered++ == 0) {
-    found->second.silent_since = now;
+  Rank& polled = ranks_[rank];
+  if (polled.unanswered++ == 0) {
+    polled.silent_since = now;
   }
 }
 
+std::size_t SilentRanks::known_ranks() const {
+  return static_cast<std::size_t>(
+      std::count_if(ranks_.begin(), ranks_.end(), [](const auto& item) {
+        return item.second.last_response != TimePoint{};
+      }));
+}
+
 void SilentRanks::Tick(TimePoint now) {
   if (ticked_at_ != TimePoint{} && now - ticked_at_ > kMaxTickDelay) {
     late_at_ = now;
--- a/src/libs/groups/silent_ranks.h
+++ b/src/libs/groups/silent_ranks.h
@@ -30,7 +30,8 @@
 class SilentRanks {
  public:
   void OnResponse(RankIndex rank, TimePoint now);
-  // The rank was polled and has not answered.
+  // The rank was polled and has not answered. It may never have responded: a
+  // new leader has to find the ranks that fell silent before it took over.
   void OnTimeout(RankIndex rank, TimePoint now);
   // Must be called often; detects that the caller itself is late.
   void Tick(TimePoint now);
@@ -40,11 +41,11 @@
   bool WasLateSince(TimePoint since, TimePoint now) const;
   // Whether the rank has responded within the last `age`.
   bool HasResponded(RankIndex rank, Duration age, TimePoint now) const;
-  // Ranks that don't answer. Empty if they are half or more of all known ranks,
-  // because then the polling process itself is cut off.
+  // Ranks that don't answer. Empty if they are half or more of all polled
+  // ranks, because then the polling process itself is cut off.
   std::set<RankIndex> Missing(TimePoint now) const;
   // Number of ranks that have ever responded.
-  std::size_t known_ranks() const { return ranks_.size(); }
+  std::size_t known_ranks() const;
 
  private:
   struct Rank {
--- a/tests/auto/groups/silent_ranks_test.cc
+++ b/tests/auto/groups/silent_ranks_test.cc
@@ -138,5 +138,28 @@
   }
 }
 
+// Guards against a rank that is never reported as missing because it fell
+// silent before the present leader took over.
+TEST_CASE("ranks that were silent from the start are missing, too") {
+  struct Row {
+    const char* name;
+    std::uint32_t silent;
+    std::size_t missing;
+  };
+  const Row rows[] = {{"one", 1, 1},
+                      {"a domain", 38, 38},
+                      {"most: the caller is cut off", 100, 0}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world;
+    world.Run(Milliseconds(400), row.silent);
+    CHECK(world.missing() == 0);
+    world.Run(Milliseconds(300), row.silent);
+    CHECK(world.missing() == row.missing);
+    world.Run(Milliseconds(200), 0);
+    CHECK(world.missing() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::groups
