A gateway finds out by itself that the VM of a silent target does not respond

What callers saw: where the VM beside an engine freezes and no other target goes on, callers hear nothing and leave after two seconds. Their runs at the frozen VM can't be ended and go on for nobody (GONE).

Cause: traffic::IsTargetLost tells a caller after 1.7 s, but only if control nodes name the target in time. A leader that has just changed, is late itself, sees half of the ranks silent or can't be reached by the gateway names nobody.

What is new: once nothing has come from a target for 1.0 s while a request waits there, TargetProbes has the sidecar on its VM asked ("/alive"), one probe at a time, 250 ms apart at least. Two probes in a row without an answer within 250 ms tell that the VM does not respond, until an answer or a byte comes. A refused or broken connection is no evidence, nor is a probe during which the gateway's own loop was late: the answer may lie unread. The caller is told at the first review after 1.7 s; nothing else is decided by it. The trail of such a request says left:silent_vm.

A port of sidecars that drops packets in place of refusing them would look like a frozen VM.

--- a/src/libs/traffic/relay_rules.h
+++ b/src/libs/traffic/relay_rules.h
@@ -40,7 +40,8 @@
 struct CallerWait {
   // Time since the last event, or since the request arrived.
   Duration silent_for{};
-  // Control nodes report that the target responds to nobody.
+  // Control nodes report that the target responds to nobody, or probes of this
+  // gateway found so.
   bool is_target_unresponsive = false;
 };
 
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -55,8 +55,9 @@
                settings,
                interface.header_names,
                std::random_device()()),
+        authenticator_(std::move(authenticator)),
         follower_(loop_,
-                  std::move(authenticator),
+                  authenticator_,
                   state_,
                   common.node.value(),
                   interface.read_configuration),
@@ -112,6 +113,10 @@
     file_stamp_ = FileStamp();
     ConnectQuarantine();
     ConnectLimits();
+    if (settings_.sidecars_port.has_value()) {
+      state_.prober.Connect(
+          authenticator_, static_cast<std::uint16_t>(*settings_.sidecars_port));
+    }
     FollowSeeds(settings_.seeds);
     for (net::HttpServer* server : {&callers_, &readiness_, &metrics_}) {
       std::string error = server->Start();
@@ -215,12 +220,14 @@
     }
   }
 
-  // Lets calls move to another target when theirs has become silent or slow.
+  // Lets calls move to another target when theirs has become silent or slow,
+  // and probes the VMs of silent targets.
   void WatchTargets() {
     constexpr Duration kPollInterval = Milliseconds(100);
     while (true) {
       loop_.SleepFor(kPollInterval);
       const TimePoint now = SteadyNow();
+      state_.prober.Tick(now);
       const std::vector<RelayCall*> active_calls(state_.active_calls.begin(),
                                                  state_.active_calls.end());
       for (RelayCall* call : active_calls) {
@@ -293,6 +300,7 @@
   telemetry::Logger log_;
   net::NetworkLoop loop_;
   GatewayState state_;
+  std::shared_ptr<const net::LinkAuthenticator> authenticator_;
   ControlFollower follower_;
   net::HttpServer callers_;
   net::HttpServer readiness_;
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include "plugins/gateway/quarantine_guard.h"
 #include "plugins/gateway/request_stats.h"
 #include "plugins/gateway/request_trace.h"
+#include "plugins/gateway/target_prober.h"
 #include "plugins/gateway/termination_detector.h"
 
 namespace bilberryspool::gateway {
@@ -61,6 +62,7 @@
   telemetry::Logger log;
   telemetry::Registry metrics;
   RequestStats stats;
+  TargetProber prober;
   Tracing tracing;
   std::uint64_t requests_in_progress = 0;
   // The largest number of gateways reported so far. A control node that is cut
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -177,7 +177,7 @@
     send_log_ += "(group broken)";
     relay.allowed_sends = sends_;
   }
-  if (has_lost_target_) {
+  if (loss_.has_value()) {
     relay.allowed_sends = sends_;
   }
   RelayStep step = traffic::NextStep(relay);
@@ -219,7 +219,9 @@
   has_abandoned_target_ = false;
   cancellation_ = std::make_shared<net::Cancellation>();
   state_.active_calls.insert(this);
+  state_.prober.OnSent(choice.target, *endpoint, SteadyNow());
   SendOutcome outcome = Send(choice, *endpoint, forwarded);
+  state_.prober.OnEnded(choice.target);
   state_.active_calls.erase(this);
   return outcome;
 }
@@ -238,6 +240,7 @@
   }
   auto& stream = *std::get<std::unique_ptr<net::HttpClientStream>>(opened);
   open_stream_ = &stream;
+  state_.prober.OnBytesReceived(choice.target, SteadyNow());
   SendOutcome outcome = EvaluateHead(choice, stream.head());
   if (const auto* failed = std::get_if<NotServed>(&outcome);
       failed == nullptr) {
@@ -262,10 +265,13 @@
                is_silent ? TargetOutcome::kFailed : TargetOutcome::kGood);
     return CallerDisconnected{};
   }
-  if (has_lost_target_) {
+  if (loss_.has_value()) {
     FinishSend(choice, TargetOutcome::kFailed);
-    send_log_ += " left:missing";
-    return NotServed{SendResult::kUnknown, "the target answers nobody"};
+    const bool is_reported = *loss_ == LossReport::kControlNodes;
+    send_log_ += is_reported ? " left:missing" : " left:silent_vm";
+    return NotServed{SendResult::kUnknown,
+                     is_reported ? "the target answers nobody"
+                                 : "the VM of the target does not respond"};
   }
   if (has_abandoned_target_) {
     // A slow target has not failed.
@@ -340,6 +346,7 @@
   while (true) {
     net::StreamPiece piece = stream.Read(wait_timeout());
     if (const auto* bytes = std::get_if<std::string>(&piece)) {
+      state_.prober.OnBytesReceived(choice.target, SteadyNow());
       body += *bytes;
       continue;
     }
@@ -510,10 +517,12 @@
 }
 
 void RelayCall::ReviewTarget(TimePoint now) {
-  if (!caller_disconnected_ && !has_lost_target_ && IsTargetLost(now)) {
-    has_lost_target_ = true;
-    CancelSend();
-    return;
+  if (!caller_disconnected_ && !loss_.has_value()) {
+    loss_ = FindLoss(now);
+    if (loss_.has_value()) {
+      CancelSend();
+      return;
+    }
   }
   const bool may_move_on =
       match_.route->may_repeat() && sends_ < match_.route->attempts;
@@ -552,10 +561,15 @@
          state_.targets.HasProgressed(service_, last_event_at_, now);
 }
 
-bool RelayCall::IsTargetLost(TimePoint now) const {
+std::optional<RelayCall::LossReport> RelayCall::FindLoss(TimePoint now) const {
   const TimePoint waits_since = has_stream_started_ ? last_event_at_ : arrived_;
-  return traffic::IsTargetLost(
-      {now - waits_since, state_.targets.IsUnresponsive(current_target_)});
+  const bool is_reported = state_.targets.IsUnresponsive(current_target_);
+  const bool is_unresponsive =
+      is_reported || state_.prober.IsUnresponsive(current_target_, now);
+  if (!traffic::IsTargetLost({now - waits_since, is_unresponsive})) {
+    return std::nullopt;
+  }
+  return is_reported ? LossReport::kControlNodes : LossReport::kOwnProbes;
 }
 
 void RelayCall::FinishSend(const traffic::Choice& choice,
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -44,6 +44,8 @@
     traffic::SendResult result;
     std::string reason;
   };
+  // Who found that the target of a cancelled send is unresponsive.
+  enum class LossReport { kControlNodes, kOwnProbes };
   using SendOutcome =
       std::variant<Answered, CallerDisconnected, AnswerAborted, NotServed>;
 
@@ -90,8 +92,8 @@
   bool IsTargetSilent(TimePoint now) const;
   bool IsConnectionSilent(TimePoint now) const;
   // Whether the target is unresponsive, so that a cancellation would not reach
-  // it, and the caller is about to give up.
-  bool IsTargetLost(TimePoint now) const;
+  // it, and the caller is about to give up. Returns who found the target so.
+  std::optional<LossReport> FindLoss(TimePoint now) const;
   void AbandonTarget();
   // Reports the outcome of a send to the trace and to the target pool.
   void FinishSend(const traffic::Choice& choice,
@@ -147,8 +149,8 @@
   // another target.
   TargetId current_target_;
   bool has_abandoned_target_ = false;
-  // The present send was cancelled because its target is unresponsive.
-  bool has_lost_target_ = false;
+  // Set if the present send was cancelled because its target is unresponsive.
+  std::optional<LossReport> loss_;
   // The retry budget has already been charged for the next send.
   bool is_retry_charged_ = false;
   RequestTrace trace_;
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -22,6 +22,7 @@
     net::StreamPiece piece = stream.Read(wait_timeout());
     if (const auto* bytes = std::get_if<std::string>(&piece)) {
       state_.targets.OnBytesReceived(choice.target, SteadyNow());
+      state_.prober.OnBytesReceived(choice.target, SteadyNow());
       const std::string events = splitter_.Take(*bytes);
       if (!events.empty() && !RelayEvents(stream.head(), events)) {
         stream.Cancel();
