Only sidecars that have answered a gateway before are evidence against their VM

Callers would have seen: streams of healthy engines broken off after 1.7 s of silence wherever probes are dropped by a firewall, there is no sidecar, or an older one passes them on to its engine.

A target is probed once when it gets its first request that lasts, and at most every ten seconds while its sidecar has not answered; an unanswered probe counts only after an answer. Only status 200 is an answer: an older sidecar relays the probe to its engine and answers 404 or 502.

--- a/src/libs/traffic/target_probes.cc
+++ b/src/libs/traffic/target_probes.cc
@@ -25,20 +25,33 @@
   return Acquit(entry);
 }
 
-bool TargetProbes::OnEnded(const TargetId& target) {
+bool TargetProbes::OnEnded(const TargetId& target, TimePoint now) {
   const auto found = targets_.find(target);
   if (found == targets_.end() || --found->second.waiting > 0) {
     return false;
   }
-  targets_.erase(found);
+  Target ended;
+  ended.has_answered = found->second.has_answered;
+  ended.ended_at = now;
+  // Otherwise each short request would cause a probe where there is no sidecar.
+  ended.probed_at = ended.has_answered ? TimePoint{} : found->second.probed_at;
+  found->second = ended;
   return true;
 }
 
+void TargetProbes::RemoveUnused(TimePoint now) {
+  std::erase_if(targets_, [&](const auto& item) {
+    return item.second.waiting == 0 &&
+           now - item.second.ended_at > options_.retention;
+  });
+}
+
 std::vector<TargetProbes::DueProbe> TargetProbes::Tick(TimePoint now) {
   if (ticked_at_ != TimePoint{} && now - ticked_at_ > options_.max_tick_gap) {
     late_at_ = now;
   }
   ticked_at_ = now;
+  RemoveUnused(now);
   std::vector<DueProbe> due;
   for (auto& [id, target] : targets_) {
     if (!IsDue(target, now)) {
@@ -64,13 +77,15 @@
   const Probe ended = *std::exchange(target.probe, std::nullopt);
   switch (result) {
     case ProbeResult::kAnswered:
+      target.has_answered = true;
       return Acquit(target);
     case ProbeResult::kNoEvidence:
       return VmChange::kNone;
     case ProbeResult::kUnanswered:
       break;
   }
-  if (ended.is_outdated || WasLateSince(ended.began_at, now)) {
+  if (!target.has_answered || ended.is_outdated ||
+      WasLateSince(ended.began_at, now)) {
     return VmChange::kNone;
   }
   if (target.unanswered++ == 0) {
@@ -98,10 +113,16 @@
 }
 
 bool TargetProbes::IsDue(const Target& target, TimePoint now) const {
-  return !target.probe.has_value() &&
-         now - target.silent_since >= options_.min_silence &&
-         (target.probed_at == TimePoint{} ||
-          now - target.probed_at >= options_.interval);
+  if (target.waiting == 0 || target.probe.has_value()) {
+    return false;
+  }
+  const Duration since = target.probed_at == TimePoint{}
+                             ? options_.first_answer_interval
+                             : now - target.probed_at;
+  return target.has_answered
+             ? now - target.silent_since >= options_.min_silence &&
+                   since >= options_.interval
+             : since >= options_.first_answer_interval;
 }
 
 VmChange TargetProbes::Acquit(Target& target) {
--- a/src/libs/traffic/target_probes.h
+++ b/src/libs/traffic/target_probes.h
@@ -7,6 +7,10 @@
 // but only where a caller is about to be lost: an engine that is silent for a
 // second is common, and a probe for each request would cost more than it tells.
 //
+// Silence is evidence only from a sidecar that has answered this gateway
+// before: there may be none on the VM, or a firewall in between. A target is
+// therefore also probed when it gets its first request.
+//
 // An answer that the gateway had no time to read is no silence of the VM, so a
 // probe counts only if the gateway was not late itself.
 //
@@ -33,6 +37,10 @@
   Duration min_silence = Milliseconds(1000);
   // Least time between the starts of two probes of a target.
   Duration interval = Milliseconds(250);
+  // The same while the target's sidecar has never answered.
+  Duration first_answer_interval = Seconds(10);
+  // How long a target without requests is remembered to have a sidecar.
+  Duration retention = Seconds(600);
   // A VM that is not frozen answers within this time.
   Duration answer_timeout = Milliseconds(250);
   // A VM is unresponsive after this number of unanswered probes in a row, if
@@ -75,8 +83,9 @@
   // Call when anything was received from the target on any request.
   VmChange OnBytesReceived(const TargetId& target, TimePoint now);
   // Call when a request at the target has ended. Returns whether it was the
-  // last one; nothing is known of the target after that.
-  bool OnEnded(const TargetId& target);
+  // last one; after that, all that is known of the target is whether it has a
+  // sidecar that answers.
+  bool OnEnded(const TargetId& target, TimePoint now);
 
   // Must be called often; detects that the gateway itself is late. Returns the
   // probes to be sent now; each must be followed by one OnProbeEnded().
@@ -100,6 +109,9 @@
   };
   struct Target {
     std::uint32_t waiting = 0;
+    // Its sidecar has answered a probe of this gateway.
+    bool has_answered = false;
+    TimePoint ended_at;  // end of its last request
     // When something was last received, or when the first of the waiting
     // requests was sent.
     TimePoint silent_since;
@@ -115,11 +127,12 @@
   // Whether the gateway was late since `since`, or is late now.
   bool WasLateSince(TimePoint since, TimePoint now) const;
   bool IsDue(const Target& target, TimePoint now) const;
+  void RemoveUnused(TimePoint now);
   // Drops the evidence against the target's VM.
   static VmChange Acquit(Target& target);
 
   TargetProbesOptions options_;
-  std::map<TargetId, Target> targets_;  // only targets with requests
+  std::map<TargetId, Target> targets_;
   ProbeNumber last_number_;
   TimePoint ticked_at_;
   TimePoint late_at_;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -221,7 +221,7 @@
   state_.active_calls.insert(this);
   state_.prober.OnSent(choice.target, *endpoint, SteadyNow());
   SendOutcome outcome = Send(choice, *endpoint, forwarded);
-  state_.prober.OnEnded(choice.target);
+  state_.prober.OnEnded(choice.target, SteadyNow());
   state_.active_calls.erase(this);
   return outcome;
 }
--- a/src/plugins/gateway/target_prober.cc
+++ b/src/plugins/gateway/target_prober.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "plugins/sidecar/sidecar_call.h"
@@ -36,8 +37,8 @@
   Log(target, probes_.OnBytesReceived(target, now));
 }
 
-void TargetProber::OnEnded(const TargetId& target) {
-  if (probes_.OnEnded(target)) {
+void TargetProber::OnEnded(const TargetId& target, TimePoint now) {
+  if (probes_.OnEnded(target, now)) {
     sidecars_.erase(target);
   }
 }
@@ -62,17 +63,19 @@
   Tick(now);
 }
 
-// Any answer shows that the VM responds, a refusal of the key as well.
+// A sidecar that does not know the request passes it on to its engine and
+// answers for it, so that any other status says nothing about the VM.
 ProbeResult TargetProber::Send(const net::Endpoint& sidecar) {
   const auto result = client_->Send(sidecar, sidecar::MakeLivenessRequest(),
                                     probes_.answer_timeout());
-  const auto* error = std::get_if<net::HttpError>(&result);
-  if (error == nullptr) {
-    return ProbeResult::kAnswered;
+  if (const auto* response = std::get_if<net::HttpResponse>(&result)) {
+    return response->head.status == net::status::kOk ? ProbeResult::kAnswered
+                                                     : ProbeResult::kNoEvidence;
   }
   client_->DropIdle(sidecar);
-  return error->kind == net::HttpErrorKind::kTimeout ? ProbeResult::kUnanswered
-                                                     : ProbeResult::kNoEvidence;
+  const auto& error = std::get<net::HttpError>(result);
+  return error.kind == net::HttpErrorKind::kTimeout ? ProbeResult::kUnanswered
+                                                    : ProbeResult::kNoEvidence;
 }
 
 void TargetProber::Log(const TargetId& target, VmChange change) {
--- a/src/plugins/gateway/target_prober.h
+++ b/src/plugins/gateway/target_prober.h
@@ -32,7 +32,7 @@
               TimePoint now);
   // Call when anything was received from the target.
   void OnBytesReceived(const TargetId& target, TimePoint now);
-  void OnEnded(const TargetId& target);
+  void OnEnded(const TargetId& target, TimePoint now);
 
   // Sends the probes that are due, each in a fiber of its own. Must be called
   // every 100 ms.
