A gateway asks again for slow targets after a failed question

Callers saw: they left a frozen engine after 2 s without a word although control nodes had named it, after a reset of the gateway's connection to the leader.

Cause: ControlFollower forgets what a node named when one question fails, but kept the revision of it, so that the node did not answer the next question before something changed or a second had passed.

Now the revision is reset with what it stood for.

--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -91,6 +91,9 @@
     }
     reachable_.erase(node->endpoint);
     state_.targets.SetSlow(node->endpoint.ToString(), {});
+    // The node would otherwise not report its slow targets again until they
+    // change, or for kMaxWatchDuration.
+    node->slow_revision = 0;
     const bool should_unfollow =
         SteadyNow() - node->last_response_at > kNodeRetention &&
         members_.count(node->endpoint) == 0 && !reachable_.empty();
