--- a/tests/auto/groups/idle_group_maps_test.cc
+++ b/tests/auto/groups/idle_group_maps_test.cc
@@ -193,8 +193,9 @@
       world.Run(4000);
       worlds_with_two_maps += world.group().mixed_map_steps() > 0 ? 1 : 0;
     }
-    MESSAGE(std::string(faults.name), ": worlds with a step with two maps: ",
-            worlds_with_two_maps, " of ", kSeeds);
+    MESSAGE(std::string(faults.name),
+            ": worlds with a step with two maps: ", worlds_with_two_maps,
+            " of ", kSeeds);
     CHECK(worlds_with_two_maps == 0);
   }
 }
