--- a/tests/auto/gateway/lost_target_test.cc
+++ b/tests/auto/gateway/lost_target_test.cc
@@ -1,9 +1,5 @@
-// A caller at a target whose VM is frozen is told so before it leaves.
-//
-// Failure: control nodes don't name the target as unresponsive in time. The
-// gateway has no other way to learn it while the whole group stands still, so
-// the caller leaves after 2 s without an event, and its run goes on until the
-// VM wakes.
+// Guards against callers that leave a frozen VM before they are told, so that
+// their runs go on.
 //
 // The world models how a leader polls (GroupTask, PollingSchedule), publishes
 // (ControlNode::SetSlowTargets) and is followed (ControlFollower), and how a
--- a/tests/auto/groups/slow_reply_test.cc
+++ b/tests/auto/groups/slow_reply_test.cc
@@ -1,11 +1,5 @@
-// A VM that had frozen before a step was held must not stop its group, whatever
-// single message is late.
-//
-// Failure: one reply before the hold takes 22 ms. The round of replies is then
-// longer than `max_liveness_round`, so all ranks are ordered to arm on replies
-// from before the hold. A VM that froze after its reply gets such an order;
-// whether it was carried out is unknown, and the group of 16 ranks stands still
-// for the 4 s of the freeze.
+// Guards against a group that stands still for as long as a VM is frozen that
+// had frozen before the step was held, because one reply was late.
 
 #include <doctest/doctest.h>
 
