No step is held by two owners of a group

What callers could have got: answers of a step that began with two maps, after a change of leader in an idle group, with a release that a frozen control node or a late engine carries out.

Cause: versions are never used again, steps are. A new owner did not know which steps its predecessor had released, held the same one, and the late release let it begin while some ranks were armed.

Evidence: late_release_test on the former sources: "held by the first owner: 2, by the second: 2", 5 steps with two maps; its new case with two short-lived owners: 20 steps with two maps.

Why this works: an owner holds no step further than 8 beyond one that was seen to begin, so a successor that observes step S knows that all shared steps up to S + 8 may have been released. The 8 behind them are split by the remainder of the term: an owner in an idle group uses its own slot, and two owners never the same one. Ranks that use their first map and have none prepared never had an owner in this epoch, so a group that has just formed is changed at once as before.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -11,6 +11,11 @@
 constexpr Duration kMinStepTime = Milliseconds(1);
 constexpr Duration kMaxStepTime = Milliseconds(1000);
 
+constexpr std::uint64_t kMaxStepsAhead = 8;
+// Terms with the same remainder are so far apart that no order of the earlier
+// one is still in transit.
+constexpr std::uint64_t kTermSlots = 8;
+
 }  // namespace
 
 StepSwitch::StepSwitch(StepSwitchOptions options,
@@ -141,6 +146,7 @@
   pending_map_.reset();
   seen_step_ = StepNumber(0);
   released_step_ = StepNumber(0);
+  inherited_release_.reset();
   checked_at_ = TimePoint{};
   trusted_from_ = takeover_settled_at_;
   Enter(SwitchPhase::kObserving, now);
@@ -182,6 +188,7 @@
   if (!IsGroupComplete(now) || !AllReportedSince(trusted_from_)) {
     return;
   }
+  InheritReleases();
   std::optional<ArmedMap> armed;
   bool all_armed = true;
   bool any_armed = false;
@@ -268,7 +275,23 @@
   });
 }
 
-void StepSwitch::ChooseStep(TimePoint now) {
+void StepSwitch::InheritReleases() {
+  if (inherited_release_.has_value()) {
+    return;
+  }
+  // A step is held only after all ranks have prepared a map.
+  const bool is_first_owner =
+      std::all_of(ranks_.begin(), ranks_.end(), [](const auto& item) {
+        const EngineReport& report = *item.second.report;
+        return report.map == MapVersion(0) && !report.prepared.has_value();
+      });
+  inherited_release_ =
+      is_first_owner
+          ? StepNumber(0)
+          : StepNumber(seen_step_.value() + kMaxStepsAhead + kTermSlots);
+}
+
+StepNumber StepSwitch::EstimateStep(TimePoint now) const {
   // The step that was seen last began at `seen_at_` or earlier. Refused holds
   // show that the group was further ahead than estimated.
   const Duration wait(
@@ -281,9 +304,23 @@
   const double ahead = ToSeconds(since) / ToSeconds(step_time_);
   const double steps =
       std::ceil(std::max(ahead, 1.0)) * static_cast<double>(1U << late_holds_);
+  return StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
+}
+
+bool StepSwitch::ChooseStep(TimePoint now) {
+  const StepNumber last_shared(seen_step_.value() + kMaxStepsAhead);
+  const StepNumber shared =
+      std::max({EstimateStep(now), released_step_.Next(),
+                inherited_release_.value_or(last_shared).Next()});
+  if (shared <= last_shared) {
+    switch_step_ = shared;
+    return true;
+  }
+  const std::uint64_t first = last_shared.value() + 1;
+  const std::uint64_t slot = options_.term.value() % kTermSlots;
   switch_step_ =
-      StepNumber(seen_step_.value() + static_cast<std::uint64_t>(steps));
-  switch_step_ = std::max(switch_step_, released_step_.Next());
+      StepNumber(first + (slot + kTermSlots - first % kTermSlots) % kTermSlots);
+  return switch_step_ > released_step_;
 }
 
 void StepSwitch::RecordArmingTime(Duration took) {
@@ -372,7 +409,10 @@
       return;
     case SwitchPhase::kConfirming:
       if (AllRespondedSince(phase_entered_at_)) {
-        ChooseStep(now);
+        if (!ChooseStep(now)) {
+          GiveUp("every step within reach may have been released", now);
+          return;
+        }
         holding_rank_ = ranks_.begin()->first;
         Enter(SwitchPhase::kHolding, now);
       } else if (now - phase_entered_at_ > options_.confirm_timeout) {
--- a/src/libs/groups/step_switch.h
+++ b/src/libs/groups/step_switch.h
@@ -18,6 +18,8 @@
 // - Clearing leaves every rank with a newer version prepared, which voids each
 //   late order to arm an older one.
 // - Versions are never reused, and those of a successor are higher.
+// - No step is held by two owners, as a release by the first one may be carried
+//   out late (see ChooseStep()).
 //
 // A rank that can't be reached while a step is held stalls the whole group if
 // it may be armed: nobody can know whether it is, so neither a release nor
@@ -51,6 +53,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/base/ids.h"
 #include "libs/base/time.h"
 #include "libs/groups/engine_order.h"
 
@@ -58,6 +61,8 @@
 
 struct StepSwitchOptions {
   std::uint32_t ranks = 0;
+  // Leadership term of the owner.
+  Term term;
   // Delay before an order that was refused is sent again.
   Duration resend_after = Milliseconds(150);
   // A rank is polled when its copies should be done, and again at this interval
@@ -201,7 +206,13 @@
   bool IsCopyingRankSilent(TimePoint now) const;
   void BeginClearing(TimePoint now);
   void GiveUp(std::string why, TimePoint now);
-  void ChooseStep(TimePoint now);
+  // Sets the step to hold; returns false if there is none that an earlier owner
+  // can't have released. Steps up to kMaxStepsAhead beyond the last one that
+  // was seen to begin may be held by any owner, those up to kTermSlots beyond
+  // that only by owners whose term has the same remainder.
+  bool ChooseStep(TimePoint now);
+  StepNumber EstimateStep(TimePoint now) const;
+  void InheritReleases();
   void RecordArmingTime(Duration took);
   std::optional<EngineOrder> OrderFor(RankIndex index, const Rank& rank) const;
   void OnRefused(const RankOrder& order, Rank& rank, TimePoint now);
@@ -226,6 +237,9 @@
   // No step up to this one is held again: a release of it may still be carried
   // out late and would let a step begin for which ranks are being armed.
   StepNumber released_step_;
+  // An earlier owner in this epoch may have released steps up to this one.
+  // Unknown until the ranks have been observed.
+  std::optional<StepNumber> inherited_release_;
   RankIndex holding_rank_{0};      // rank at which `switch_step_` is held
   Duration expected_copy_time_{};  // of a rank, in the current change
   std::uint32_t late_holds_ = 0;
--- a/src/libs/groups/step_switch_orders.cc
+++ b/src/libs/groups/step_switch_orders.cc
@@ -191,7 +191,10 @@
         GiveUp("the step to hold was always over", now);
         return;
       }
-      ChooseStep(now);
+      if (!ChooseStep(now)) {
+        GiveUp("every step within reach may have been released", now);
+        return;
+      }
       rank.send_next = now;
       return;
     case SwitchPhase::kArming:
--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -296,7 +296,7 @@
     }
     task = std::make_unique<GroupTask>(loop_, calls_, poller_, multicaster_,
                                        protocol_, place.group, *engine,
-                                       place.size, first);
+                                       place.size, term_, first);
     task->SetHelpers(Helpers());
     task->SetMayAct([this] { return node_.replica().is_leader(); });
     log_.Info("Started managing a group.", {{"group", place.group.value()},
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -39,9 +39,10 @@
   return "unknown";
 }
 
-groups::StepSwitchOptions SwitchOptions(std::uint32_t ranks) {
+groups::StepSwitchOptions SwitchOptions(std::uint32_t ranks, Term term) {
   groups::StepSwitchOptions options;
   options.ranks = ranks;
+  options.term = term;
   // Ranks confirm one after the other, in the order in which the orders reached
   // them; most have finished at the first poll.
   constexpr Duration kPollPerRank = Microseconds(500);
@@ -59,6 +60,7 @@
                      GroupId group,
                      const traffic::EngineModel& engine,
                      std::uint32_t ranks,
+                     Term term,
                      MapVersion first_version)
     : loop_(loop),
       calls_(calls),
@@ -69,7 +71,7 @@
       engine_(engine),
       ranks_(ranks),
       log_("groups"),
-      switch_(SwitchOptions(ranks), first_version, SteadyNow()),
+      switch_(SwitchOptions(ranks, term), first_version, SteadyNow()),
       loads_(LoadOptions(engine)) {}
 
 placement::RecentLoadsOptions GroupTask::LoadOptions(
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -50,6 +50,7 @@
             GroupId group,
             const traffic::EngineModel& engine,
             std::uint32_t ranks,
+            Term term,
             MapVersion first_version);
 
   void SetAddress(RankIndex rank,
--- a/tests/auto/groups/idle_group_maps_test.cc
+++ b/tests/auto/groups/idle_group_maps_test.cc
@@ -70,6 +70,7 @@
     ++term_;
     StepSwitchOptions options;
     options.ranks = kRanks;
+    options.term = Term(term_);
     owner_.emplace(options, MapVersion(term_ * 1000), now_);
   }
 
--- a/tests/auto/groups/late_release_test.cc
+++ b/tests/auto/groups/late_release_test.cc
@@ -34,9 +34,11 @@
   World() { TakeOver(); }
 
   void TakeOver() {
+    ++term_;
     StepSwitchOptions options;
     options.ranks = kRanks;
-    owner_.emplace(options, MapVersion(++term_ * 1000), now_);
+    options.term = Term(term_);
+    owner_.emplace(options, MapVersion(term_ * 1000), now_);
   }
   void Begin() { owner_->Begin(AnyMap(), Duration::zero(), now_); }
   // What becomes of orders to arm the frozen rank.
@@ -136,5 +138,42 @@
   CHECK(world.group().mixed_map_steps() == 0);
 }
 
+// The second owner is as short-lived as the first one, so that the third may
+// meet a late release of either.
+TEST_CASE("late releases of two earlier owners do not begin a mixed step") {
+  World world;
+  REQUIRE(world.RunUntil(SwitchPhase::kIdle));
+  world.Begin();
+  REQUIRE(world.RunUntil(SwitchPhase::kHolding));
+  world.SetArmAnswer(OrderAnswer::kNotSent);
+  REQUIRE(world.RunUntil(SwitchPhase::kClearing));
+  REQUIRE(world.RunUntil(SwitchPhase::kSettling));
+  world.SetArmAnswer(std::nullopt);
+
+  world.TakeOver();
+  REQUIRE(world.RunUntil(SwitchPhase::kIdle));
+  world.Begin();
+  REQUIRE(world.RunUntil(SwitchPhase::kHolding));
+  world.SetArmAnswer(OrderAnswer::kNotSent);
+  REQUIRE(world.RunUntil(SwitchPhase::kClearing));
+  world.KeepNextRelease();
+  REQUIRE(world.RunUntil(SwitchPhase::kSettling));
+  world.SetArmAnswer(std::nullopt);
+  const StepNumber second = world.held_step();
+
+  world.TakeOver();
+  REQUIRE(world.RunUntil(SwitchPhase::kIdle));
+  world.Begin();
+  REQUIRE(world.RunUntil(SwitchPhase::kHolding));
+  CHECK(world.held_step() != second);
+  world.SetArmAnswer(OrderAnswer::kUnanswered);
+  REQUIRE(world.RunUntil(SwitchPhase::kArming));
+  world.RunIteration();
+  world.RunIteration();
+  world.CarryOutKeptRelease();
+  world.RunSteps(20);
+  CHECK(world.group().mixed_map_steps() == 0);
+}
+
 }  // namespace
 }  // namespace bilberryspool::groups
