A request that terminates targets is recognised where their ports close late

What callers got: under load a request that had terminated 3 targets terminated 4, 8 or 12 more (3 are allowed), and broke off the requests of others with each.

Cause: a process that exits closes its connections before its port. A gateway asked the port once, right after the connection broke; an answer by the process that was exiting counted as "still runs", and the termination counted for nothing.

Why this works: a request is suspect once a connection broke under it for the second time within a minute, or a target is known to have terminated. Only then is the port asked again, after 10, 20, 40 and 80 ms, and only its request waits. Others go on at once as before, and no more connections are opened for them.

--- a/src/libs/quarantine/quarantine_view.h
+++ b/src/libs/quarantine/quarantine_view.h
@@ -14,7 +14,7 @@
 #include "libs/base/time.h"
 #include "libs/quarantine/quarantine_record.h"
 #include "libs/quarantine/quarantine_registry.h"
-#include "libs/quarantine/recent_completions.h"
+#include "libs/quarantine/recent_requests.h"
 
 namespace bilberryspool::quarantine {
 
@@ -95,7 +95,7 @@
 
   QuarantineViewOptions options_;
   QuarantineRegistry own_;
-  RecentCompletions completions_;
+  RecentRequests completions_;
   std::map<std::string, Source> sources_;
 };
 
--- a/src/libs/quarantine/recent_completions.cc
+++ b/src/libs/quarantine/recent_requests.cc
@@ -1,8 +1,8 @@
-#include "libs/quarantine/recent_completions.h"
+#include "libs/quarantine/recent_requests.h"
 
 namespace bilberryspool::quarantine {
 
-void RecentCompletions::Note(const RequestFingerprint& request, TimePoint now) {
+void RecentRequests::Note(const RequestFingerprint& request, TimePoint now) {
   const auto found = by_request_.find(request);
   if (found != by_request_.end()) {
     found->second->second = now;
@@ -17,7 +17,7 @@
   by_request_.emplace(request, newest_first_.begin());
 }
 
-std::optional<TimePoint> RecentCompletions::Find(
+std::optional<TimePoint> RecentRequests::Find(
     const RequestFingerprint& request) const {
   const auto found = by_request_.find(request);
   return found == by_request_.end()
--- a/src/libs/quarantine/recent_completions.h
+++ b/src/libs/quarantine/recent_requests.h
@@ -1,10 +1,9 @@
-// The requests that were recently answered completely by a target that
-// continued to run.
+// The requests for which something happened recently, and when.
 //
 // Pure: events and `now` in, answers out.
 
-#ifndef LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
-#define LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
+#ifndef LIBS_QUARANTINE_RECENT_REQUESTS_H_
+#define LIBS_QUARANTINE_RECENT_REQUESTS_H_
 
 #include <cstddef>
 #include <list>
@@ -17,13 +16,13 @@
 
 namespace bilberryspool::quarantine {
 
-class RecentCompletions {
+class RecentRequests {
  public:
   // Keeps the `capacity` most recent requests.
-  explicit RecentCompletions(std::size_t capacity) : capacity_(capacity) {}
+  explicit RecentRequests(std::size_t capacity) : capacity_(capacity) {}
 
   void Note(const RequestFingerprint& request, TimePoint now);
-  // Time of the last completion, if known.
+  // When the request was noted last, if known.
   std::optional<TimePoint> Find(const RequestFingerprint& request) const;
 
  private:
@@ -39,4 +38,4 @@
 
 }  // namespace bilberryspool::quarantine
 
-#endif  // LIBS_QUARANTINE_RECENT_COMPLETIONS_H_
+#endif  // LIBS_QUARANTINE_RECENT_REQUESTS_H_
--- a/src/plugins/gateway/quarantine_guard.cc
+++ b/src/plugins/gateway/quarantine_guard.cc
@@ -14,6 +14,9 @@
 // The connections of all requests at a terminated target break within this
 // time; their observations are reported together.
 constexpr Duration kReportDelay = Milliseconds(3);
+constexpr std::size_t kMaxBrokenRequests = 512;
+// Callers repeat a request that broke within seconds.
+constexpr Duration kBrokenMemory = Seconds(60);
 
 quarantine::QuarantineViewOptions MakeOptions() {
   quarantine::QuarantineViewOptions options;
@@ -24,7 +27,16 @@
 }  // namespace
 
 QuarantineGuard::QuarantineGuard(net::NetworkLoop& loop)
-    : loop_(loop), view_(MakeOptions()) {}
+    : loop_(loop), view_(MakeOptions()), broken_(kMaxBrokenRequests) {}
+
+bool QuarantineGuard::OnConnectionBroken(
+    const quarantine::RequestFingerprint& request,
+    TimePoint now) {
+  const std::optional<TimePoint> last = broken_.Find(request);
+  broken_.Note(request, now);
+  return (last.has_value() && now - *last < kBrokenMemory) ||
+         view_.Judge(request, now).terminations > 0;
+}
 
 void QuarantineGuard::OnTermination(const quarantine::TerminationObserved& end,
                                     TimePoint now) {
--- a/src/plugins/gateway/quarantine_guard.h
+++ b/src/plugins/gateway/quarantine_guard.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/quarantine/quarantine_view.h"
+#include "libs/quarantine/recent_requests.h"
 
 namespace bilberryspool::net {
 class NetworkLoop;
@@ -41,6 +42,11 @@
 
   void Connect(Links links) { links_ = std::move(links); }
 
+  // A connection broke while its target ran the request. Returns whether the
+  // request is suspected to terminate targets: one is known to have terminated,
+  // or an earlier connection broke as well.
+  bool OnConnectionBroken(const quarantine::RequestFingerprint& request,
+                          TimePoint now);
   // A target terminated while it ran the request.
   void OnTermination(const quarantine::TerminationObserved& end, TimePoint now);
   void OnCompleted(const quarantine::RequestFingerprint& request,
@@ -77,6 +83,7 @@
 
   net::NetworkLoop& loop_;
   quarantine::QuarantineView view_;
+  quarantine::RecentRequests broken_;
   Links links_;
   std::vector<quarantine::Observation> unreported_;
 };
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -23,6 +23,10 @@
 // transmissions of 1 to 3 ms each, and the scheduling delay of a busy process.
 constexpr Duration kAnswerTime = Milliseconds(50);
 
+// A process that exits closes its connections first, and under load its port
+// some tens of milliseconds later.
+constexpr Duration kMaxExitTime = Milliseconds(200);
+
 // Timeout of a request that names none and whose route is not known yet.
 constexpr Duration kDefaultTimeout = Seconds(8);
 
@@ -296,8 +300,13 @@
 bool RelayCall::HasTerminated(const traffic::Choice& choice,
                               net::HttpErrorKind kind) {
   const auto endpoint = net::ParseEndpoint(choice.address);
-  return kind == net::HttpErrorKind::kClosed && endpoint.has_value() &&
-         state_.termination_detector.HasTerminated(choice.target, *endpoint);
+  if (kind != net::HttpErrorKind::kClosed || !endpoint.has_value()) {
+    return false;
+  }
+  const bool is_suspect =
+      state_.quarantine.OnConnectionBroken(fingerprint_, SteadyNow());
+  return state_.termination_detector.HasTerminated(
+      choice.target, *endpoint, is_suspect ? kMaxExitTime : Duration::zero());
 }
 
 RelayCall::SendOutcome RelayCall::EvaluateHead(
--- a/src/plugins/gateway/termination_detector.cc
+++ b/src/plugins/gateway/termination_detector.cc
@@ -16,37 +16,57 @@
 // other. Shorter than any start of the process, after which the address is
 // listened on again.
 constexpr Duration kResultRetention = Milliseconds(500);
+// Between the first two probes; doubles with each further one.
+constexpr Duration kFirstInterval = Milliseconds(10);
 
 }  // namespace
 
 bool TerminationDetector::HasTerminated(const TargetId& target,
-                                        const net::Endpoint& endpoint) {
+                                        const net::Endpoint& endpoint,
+                                        Duration max_wait) {
   const TimePoint now = SteadyNow();
   RemoveExpired(now);
-  const auto [found, is_new] = checks_.try_emplace(target);
-  if (!is_new) {
-    const TimePoint limit = found->second.started_at + kResultRetention;
-    while (checks_.count(target) > 0 && !checks_[target].is_finished &&
-           SteadyNow() < limit) {
-      check_finished_.WaitUntil(limit);
+  std::shared_ptr<Check>& slot = checks_[target];
+  if (slot == nullptr) {
+    slot = std::make_shared<Check>();
+    slot->started_at = now;
+    slot->next_probe = now;
+    slot->interval = kFirstInterval;
+  }
+  const std::shared_ptr<Check> check = slot;
+  const TimePoint limit = now + max_wait;
+  while (!check->has_terminated) {
+    if (check->is_probing) {
+      probe_finished_.Wait();
+      continue;
+    }
+    const bool is_first = check->next_probe == check->started_at;
+    if (!is_first &&
+        (max_wait == Duration::zero() || check->next_probe > limit)) {
+      return false;
+    }
+    if (SteadyNow() < check->next_probe) {
+      probe_finished_.WaitUntil(check->next_probe);
+      continue;
     }
-    const auto check = checks_.find(target);
-    return check != checks_.end() && check->second.has_terminated;
+    Probe(*check, endpoint);
   }
-  found->second.started_at = now;
+  return true;
+}
+
+void TerminationDetector::Probe(Check& check, const net::Endpoint& endpoint) {
+  check.is_probing = true;
   const net::PortState state = net::CheckPort(loop_, endpoint, kConnectTimeout);
-  Check& check = checks_[target];
-  check.is_finished = true;
   check.has_terminated = state == net::PortState::kClosed;
-  const bool has_terminated = check.has_terminated;
-  check_finished_.NotifyAll();
-  return has_terminated;
+  check.is_probing = false;
+  check.next_probe = SteadyNow() + check.interval;
+  check.interval = check.interval * 2;
+  probe_finished_.NotifyAll();
 }
 
 void TerminationDetector::RemoveExpired(TimePoint now) {
   std::erase_if(checks_, [now](const auto& item) {
-    return item.second.is_finished &&
-           now - item.second.started_at > kResultRetention;
+    return now - item.second->started_at > kResultRetention;
   });
 }
 
--- a/src/plugins/gateway/termination_detector.h
+++ b/src/plugins/gateway/termination_detector.h
@@ -4,6 +4,7 @@
 #define PLUGINS_GATEWAY_TERMINATION_DETECTOR_H_
 
 #include <map>
+#include <memory>
 
 #include "libs/base/ids.h"
 #include "libs/base/time.h"
@@ -25,22 +26,28 @@
   explicit TerminationDetector(net::NetworkLoop& loop) : loop_(loop) {}
 
   // Whether the target has terminated, given that a connection to it has just
-  // broken. Suspends the calling fiber. Concurrent calls for a target share one
-  // probe connection.
-  bool HasTerminated(const TargetId& target, const net::Endpoint& endpoint);
+  // broken. A target that still listens is probed again for up to `max_wait`.
+  // Suspends the calling fiber. Concurrent calls for a target share their probe
+  // connections.
+  bool HasTerminated(const TargetId& target,
+                     const net::Endpoint& endpoint,
+                     Duration max_wait);
 
  private:
   struct Check {
     TimePoint started_at;
-    bool is_finished = false;
+    TimePoint next_probe;
+    Duration interval{};
+    bool is_probing = false;
     bool has_terminated = false;
   };
 
+  void Probe(Check& check, const net::Endpoint& endpoint);
   void RemoveExpired(TimePoint now);
 
   net::NetworkLoop& loop_;
-  std::map<TargetId, Check> checks_;
-  net::FiberSignal check_finished_;
+  std::map<TargetId, std::shared_ptr<Check>> checks_;
+  net::FiberSignal probe_finished_;
 };
 
 }  // namespace bilberryspool::gateway
--- a/tests/auto/quarantine/quarantine_view_test.cc
+++ b/tests/auto/quarantine/quarantine_view_test.cc
@@ -100,7 +100,7 @@
 }
 
 TEST_CASE("only the most recent completions are kept") {
-  RecentCompletions completions(2);
+  RecentRequests completions(2);
   completions.Note({1, 1}, kNow);
   completions.Note({1, 2}, kNow);
   completions.Note({1, 1}, kNow + Seconds(1));
