Control nodes of one failure domain share its ranks

Cause: all ranks of a domain went to the first control node there, 21 or 24 ranks of 63 or 72; the second one in the domain had none. With more than 16 ranks a node an order to arm is not guarded, and one that is not answered is repeated only after the 128 ms that the node waits for all of its ranks.

Now each reader of the domain gets the same number, up to an equal share of all ranks, so six control nodes have 12 or 13 ranks each of 63 and 14 or 15 of 72, and orders are guarded and repeated after 6 ms there too.

polling_schedule_test, "control nodes of one domain share its ranks": 21 and 24 ranks a node before, 13 and 15 at most now.

--- a/src/plugins/control_node/polling_schedule.cc
+++ b/src/plugins/control_node/polling_schedule.cc
@@ -44,8 +44,8 @@
   }
 }
 
-// Assigns each rank to a reader in its failure domain, or else to the reader
-// with the fewest ranks.
+// Assigns each rank to a reader in its failure domain, as long as that reader
+// has no more than an equal share, or else to the reader with the fewest ranks.
 void PollingSchedule::AssignRanks(TimePoint now) {
   std::vector<Reader*> usable;
   for (auto& [endpoint, reader] : readers_) {
@@ -57,25 +57,29 @@
   if (usable.empty()) {
     usable.push_back(&readers_.at(std::nullopt));
   }
+  const auto has_fewer_ranks = [](const Reader* one, const Reader* other) {
+    return one->ranks.size() < other->ranks.size();
+  };
+  const std::size_t equal_share =
+      (ranks_.size() + usable.size() - 1) / usable.size();
   std::vector<RankIndex> unassigned;
-  for (const auto& item : ranks_) {
-    const FailureDomain& domain = item.second;
-    const auto same_domain = std::find_if(
-        usable.begin(), usable.end(),
-        [&](const Reader* reader) { return reader->domain == domain; });
-    if (same_domain == usable.end()) {
-      unassigned.push_back(item.first);
+  for (const auto& [rank, domain] : ranks_) {
+    std::vector<Reader*> same_domain;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(same_domain),
+                 [&](const Reader* reader) {
+                   return reader->domain == domain &&
+                          reader->ranks.size() < equal_share;
+                 });
+    if (same_domain.empty()) {
+      unassigned.push_back(rank);
       continue;
     }
-    (*same_domain)->ranks.push_back(item.first);
+    (*std::min_element(same_domain.begin(), same_domain.end(), has_fewer_ranks))
+        ->ranks.push_back(rank);
   }
   for (const RankIndex rank : unassigned) {
-    const auto least_loaded =
-        std::min_element(usable.begin(), usable.end(),
-                         [](const Reader* one, const Reader* other) {
-                           return one->ranks.size() < other->ranks.size();
-                         });
-    (*least_loaded)->ranks.push_back(rank);
+    (*std::min_element(usable.begin(), usable.end(), has_fewer_ranks))
+        ->ranks.push_back(rank);
   }
 }
 
--- a/src/plugins/control_node/polling_schedule.h
+++ b/src/plugins/control_node/polling_schedule.h
@@ -5,7 +5,8 @@
 // polled 192 ranks itself could do nothing else, and one that polls only a few
 // does not know the load of the others. The ranks are therefore divided among
 // the other control nodes that respond, with each node polling those in its own
-// failure domain first.
+// failure domain first. Equal shares keep the time short in which an order
+// reaches all ranks, during which the group may be stalled.
 //
 // A node that takes long is polled less often: it lacks processor time, and
 // more requests would delay it further. A node that does not respond is in
--- a/tests/auto/control_node/polling_schedule_test.cc
+++ b/tests/auto/control_node/polling_schedule_test.cc
@@ -117,6 +117,48 @@
   std::size_t cross_domain_reads_ = 0;
 };
 
+// Guards against a group being stalled for as long as one control node takes to
+// reach all ranks of a domain while another one in that domain is idle.
+TEST_CASE("control nodes of one domain share its ranks") {
+  struct Row {
+    std::uint32_t ranks;
+    std::vector<std::size_t> reader_domains;
+    std::size_t max_ranks;
+  };
+  const Row rows[] = {
+      {63, {0, 1, 1, 2, 2}, 13},
+      {72, {0, 1, 1, 2, 2}, 15},
+      {16, {1, 2}, 8},
+      {63, {1}, 63},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.ranks);
+    PollingSchedule schedule;
+    std::vector<RankIndex> ranks;
+    for (std::uint32_t i = 0; i < row.ranks; ++i) {
+      ranks.emplace_back(i);
+      schedule.SetRank(RankIndex(i), DomainOf(i % 3));
+    }
+    std::vector<net::Endpoint> readers;
+    std::map<net::Endpoint, FailureDomain> domains;
+    for (std::size_t i = 0; i < row.reader_domains.size(); ++i) {
+      readers.push_back({"10.0.0." + std::to_string(i), 7340});
+      domains.emplace(readers.back(), DomainOf(row.reader_domains[i]));
+    }
+    schedule.SetReaders(readers);
+    const TimePoint now = TimeAt(Seconds(5));
+    for (const PollingRound& round : schedule.StartDueRounds(now)) {
+      schedule.OnAnswer(round, domains.at(*round.reader), now);
+    }
+    std::size_t assigned = 0;
+    for (const PollingRound& part : schedule.SplitByReader(ranks, now)) {
+      CHECK(part.ranks.size() <= row.max_ranks);
+      assigned += part.ranks.size();
+    }
+    CHECK(assigned == row.ranks);
+  }
+}
+
 TEST_CASE("all ranks are read by readers in their domain, for any group size") {
   for (const std::uint32_t ranks : {16U, 72U, 192U}) {
     CAPTURE(ranks);
