The release of a held step is repeated by another control node after 6 ms

Cause: the release went by way of a control node that had lost power half a second before, and was repeated only after the 65 ms that such an order may take (`from=releasing to=settling after_ms=69`).

Why this works: the release is sent once more, by way of the next control node, as soon as an answer is 6 ms late, as orders to arm already are where they are guarded; both use CallRepeated now. A second copy does no harm since no step is held twice.

repeated_call_test: the row with a dead first node took its whole timeout without the repetition.

--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -144,8 +144,13 @@
       const groups::MulticastOrder& multicast);
   groups::OrderAnswer ReadAnswer(int status) const;
   void OnAnswer(const groups::RankOrder& order, int status);
-  EngineCalls::Answer SendHoldOrder(const net::Endpoint& engine,
-                                    const net::HttpRequest& request);
+  // These return the status of the engine's answer; 0: there is none.
+  int Send(const groups::EngineOrder& order,
+           const net::Endpoint& engine,
+           const net::HttpRequest& request);
+  int SendHoldOrder(const net::Endpoint& engine,
+                    const net::HttpRequest& request);
+  int SendRelease(const net::Endpoint& engine, const net::HttpRequest& request);
   EngineCalls::CallTimeouts TimeoutFor(const groups::EngineOrder& order) const;
 
   net::NetworkLoop& loop_;
--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -8,6 +8,7 @@
 #include "libs/net/steady_time.h"
 #include "libs/packing/packed_text.h"
 #include "plugins/control_node/group_task.h"
+#include "plugins/control_node/repeated_call.h"
 
 namespace bilberryspool::control_node {
 
@@ -54,18 +55,23 @@
     }
     const net::HttpRequest request = protocol_.order_request(order, ranks_);
     const net::Endpoint& engine = addresses_.at(order.rank);
-    const bool is_hold_order =
-        std::holds_alternative<groups::HoldStep>(order.order) ||
-        std::holds_alternative<groups::ReleaseStep>(order.order);
-    const EngineCalls::Answer answer =
-        is_hold_order
-            ? SendHoldOrder(engine, request)
-            : calls_.CallEngine(engine, request, TimeoutFor(order.order));
-    OnAnswer(order, answer.status);
+    OnAnswer(order, Send(order.order, engine, request));
     Advance();
   });
 }
 
+int GroupTask::Send(const groups::EngineOrder& order,
+                    const net::Endpoint& engine,
+                    const net::HttpRequest& request) {
+  if (std::holds_alternative<groups::HoldStep>(order)) {
+    return SendHoldOrder(engine, request);
+  }
+  if (std::holds_alternative<groups::ReleaseStep>(order)) {
+    return SendRelease(engine, request);
+  }
+  return calls_.CallEngine(engine, request, TimeoutFor(order)).status;
+}
+
 void GroupTask::OnAnswer(const groups::RankOrder& order, int status) {
   switch_.OnAnswer(order, ReadAnswer(status), SteadyNow());
 }
@@ -169,14 +175,14 @@
              : std::nullopt;
 }
 
-EngineCalls::Answer GroupTask::SendHoldOrder(const net::Endpoint& engine,
-                                             const net::HttpRequest& request) {
+int GroupTask::SendHoldOrder(const net::Endpoint& engine,
+                             const net::HttpRequest& request) {
   constexpr EngineCalls::CallTimeouts kTimeouts{kOrderTimeout, kOrderTransit};
   const auto helper = helpers_.Next();
   if (!helper.has_value()) {
-    return calls_.CallEngine(engine, request, kTimeouts);
+    return calls_.CallEngine(engine, request, kTimeouts).status;
   }
-  EngineCalls::Answer answer =
+  const EngineCalls::Answer answer =
       calls_.CallThroughNode(*helper, engine, request, kTimeouts);
   const RelayResult result = ClassifyRelayStatus(answer.status);
   helpers_.OnRelayed(*helper, result);
@@ -184,7 +190,16 @@
     log_.Info("An order about a hold goes by way of another node.",
               {{"failed", helper->ToString()}, {"status", answer.status}});
   }
-  return result == RelayResult::kAnswered ? answer : EngineCalls::Answer{};
+  return result == RelayResult::kAnswered ? answer.status : 0;
+}
+
+// The group is stalled until the release arrives. Two copies of it do no harm,
+// as no step is held twice.
+int GroupTask::SendRelease(const net::Endpoint& engine,
+                           const net::HttpRequest& request) {
+  return CallRepeated(
+      [this](std::function<void()> body) { Spawn(std::move(body)); },
+      [this, engine, request] { return SendHoldOrder(engine, request); });
 }
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/order_multicaster.cc
+++ b/src/plugins/control_node/order_multicaster.cc
@@ -11,6 +11,7 @@
 #include "libs/net/http_status.h"
 #include "libs/net/steady_time.h"
 #include "libs/packing/packed_text.h"
+#include "plugins/control_node/repeated_call.h"
 #include "plugins/sidecar/sidecar_call.h"
 
 namespace bilberryspool::control_node {
@@ -26,9 +27,6 @@
 
 // Number of ranks that a guarded order is in transit to at a time.
 constexpr std::size_t kMaxGuardedAtOnce = 4;
-// A guarded order that is not answered by then is sent once more. Engines
-// answer most orders within 4 ms and a few within 20 ms.
-constexpr Duration kRepeatAfter = Milliseconds(6);
 // Longest time that an OrderGuard takes for one rank.
 constexpr Duration kMaxGuardTime = Milliseconds(90);
 // Time limit of a poll; its reply is of no use after kMaxGuardTime.
@@ -186,34 +184,11 @@
 
 int OrderMulticaster::SendRepeated(const Multicasting& state,
                                    const net::Endpoint& engine) {
-  struct Answers {
-    int status = 0;
-    int missing = 0;
-    net::FiberSignal changed;
-  };
-  auto answers = std::make_shared<Answers>();
-  const auto send = [&] {
-    ++answers->missing;
-    loop_.Spawn([this, answers, engine, request = state.request,
-                 timeouts = state.timeouts] {
-      const int status = calls_.CallEngine(engine, request, timeouts).status;
-      answers->status = answers->status == 0 ? status : answers->status;
-      --answers->missing;
-      answers->changed.NotifyAll();
-    });
-  };
-  const TimePoint sent = SteadyNow();
-  send();
-  bool is_repeated = false;
-  while (answers->status == 0 && answers->missing > 0) {
-    if (is_repeated) {
-      answers->changed.Wait();
-    } else if (!answers->changed.WaitUntil(sent + kRepeatAfter)) {
-      is_repeated = true;
-      send();
-    }
-  }
-  return answers->status;
+  return CallRepeated(
+      [this](std::function<void()> body) { loop_.Spawn(std::move(body)); },
+      [this, engine, request = state.request, timeouts = state.timeouts] {
+        return calls_.CallEngine(engine, request, timeouts).status;
+      });
 }
 
 void OrderMulticaster::Answer(net::HttpExchange& exchange) {
