The leader sends an order itself where its reader could not

Cause: those nodes answered the leader, but some sidecars refused their connections. A guarded order to arm that a reader did not send, as the rank did not respond to it, was final: the change was cleared (0.8 s) and the next one went the same way, six times in a row (`a rank is silent before it is armed`, `Connection refused`).

Now the leader sends a guarded order to such ranks by itself before it gives up. A rank on a frozen VM does not respond to it either and is not armed, as before.

--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -9,6 +9,7 @@
 #include "libs/packing/packed_text.h"
 #include "plugins/control_node/group_task.h"
 #include "plugins/control_node/repeated_call.h"
+#include "plugins/control_node/unsent_ranks.h"
 
 namespace bilberryspool::control_node {
 
@@ -143,11 +144,14 @@
   }
   Spawn([this, part, order, multicast = std::move(multicast)] {
     const TimePoint asked = SteadyNow();
-    const auto answer = RequestAnswer(part, multicast);
+    auto answer = RequestAnswer(part, multicast);
     if (!answer.has_value() && part.reader.has_value() &&
         !silence_.WasLateSince(asked, SteadyNow())) {
       schedule_.StartCooldown(*part.reader, SteadyNow());
     }
+    if (answer.has_value() && part.reader.has_value()) {
+      SendUnsent(*part.reader, multicast, *answer);
+    }
     groups::RankOrder one = order;
     for (std::size_t i = 0; i < part.ranks.size(); ++i) {
       const bool has_status = answer.has_value() && i < answer->statuses.size();
@@ -158,6 +162,18 @@
   });
 }
 
+void GroupTask::SendUnsent(const net::Endpoint& reader,
+                           const groups::MulticastOrder& multicast,
+                           groups::MulticastResult& result) {
+  const groups::MulticastOrder unsent = OrderForUnsent(multicast, result);
+  if (unsent.ranks.empty() || !may_act_()) {
+    return;
+  }
+  log_.Info("Sending an order where its reader could not.",
+            {{"reader", reader.ToString()}, {"ranks", unsent.ranks.size()}});
+  MergeUnsent(multicaster_.Multicast(unsent), result);
+}
+
 std::optional<groups::MulticastResult> GroupTask::RequestAnswer(
     const PollingRound& part,
     const groups::MulticastOrder& multicast) {
