--- a/src/plugins/control_node/polling_schedule.cc
+++ b/src/plugins/control_node/polling_schedule.cc
@@ -63,7 +63,8 @@
   const std::size_t equal_share =
       (ranks_.size() + usable.size() - 1) / usable.size();
   std::vector<RankIndex> unassigned;
-  for (const auto& [rank, domain] : ranks_) {
+  for (const auto& item : ranks_) {
+    const FailureDomain& domain = item.second;
     std::vector<Reader*> same_domain;
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(same_domain),
                  [&](const Reader* reader) {
@@ -71,11 +72,11 @@
                           reader->ranks.size() < equal_share;
                  });
     if (same_domain.empty()) {
-      unassigned.push_back(rank);
+      unassigned.push_back(item.first);
       continue;
     }
     (*std::min_element(same_domain.begin(), same_domain.end(), has_fewer_ranks))
-        ->ranks.push_back(rank);
+        ->ranks.push_back(item.first);
   }
   for (const RankIndex rank : unassigned) {
     (*std::min_element(usable.begin(), usable.end(), has_fewer_ranks))
