Callers come back later where all processes are starting

Load pattern: some 500 callers refused within a second, of a group that needs two more seconds. As for any other refusal, Retry-After now takes 0.3 to 0.33 of the time left.

--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -64,7 +64,7 @@
 
 bool RelayCall::Admit() {
   if (routes_ == nullptr) {
-    Refuse(kDefaultRetryAfter, "no configuration yet");
+    Refuse(RetryAfter(), "no configuration yet");
     return false;
   }
   const auto outcome = routes_->Match(head_.host, head_.path, head_.key);
@@ -432,8 +432,9 @@
 }
 
 // Callers retry once and accept a delay of up to a third of their time. The
-// reasons for a refusal, such as a group that forms again or a queue that
-// drains, last for seconds, so most of that third is used.
+// reasons for a refusal, such as a group that forms again, a queue that drains
+// or a restart of all processes, last for seconds, so most of that third is
+// used.
 Duration RelayCall::RetryAfter() {
   constexpr double kMinShare = 0.3;
   constexpr double kMaxShare = 0.33;
