--- a/src/plugins/control_node/repeated_call.cc
+++ b/src/plugins/control_node/repeated_call.cc
@@ -10,7 +10,8 @@
 using net::SteadyNow;
 
 int CallRepeated(const std::function<void(std::function<void()>)>& spawn,
-                 const std::function<int()>& call) {
+                 const std::function<int()>& call,
+                 Duration repeat_after) {
   struct Answers {
     int status = 0;
     int missing = 0;
@@ -26,7 +27,7 @@
       answers->changed.NotifyAll();
     });
   };
-  const TimePoint repeat_at = SteadyNow() + kRepeatAfter;
+  const TimePoint repeat_at = SteadyNow() + repeat_after;
   send();
   bool is_repeated = false;
   while (answers->status == 0 && (answers->missing > 0 || !is_repeated)) {
--- a/src/plugins/control_node/repeated_call.h
+++ b/src/plugins/control_node/repeated_call.h
@@ -22,7 +22,8 @@
 // same time, and must not refer to the caller's stack. Blocks the calling
 // fiber.
 int CallRepeated(const std::function<void(std::function<void()>)>& spawn,
-                 const std::function<int()>& call);
+                 const std::function<int()>& call,
+                 Duration repeat_after = kRepeatAfter);
 
 }  // namespace bilberryspool::control_node
 
--- a/tests/auto/control_node/rank_poller_test.cc
+++ b/tests/auto/control_node/rank_poller_test.cc
@@ -194,6 +194,9 @@
   std::unique_ptr<OrderMulticaster> multicaster_;
 };
 
+// Longer than the timeouts of a poll and of a reading.
+constexpr Duration kMaxCallTime = Milliseconds(200);
+
 void WithFixture(const std::function<void(RankFixture&)>& body) {
   net::NetworkLoop loop;
   std::thread thread([&] {
@@ -201,6 +204,8 @@
       RankFixture fixture(loop);
       body(fixture);
       fixture.Stop();
+      // Polls that nobody waits for any more use the fixture until they end.
+      loop.SleepFor(kMaxCallTime);
     });
   });
   thread.join();
