Groups of up to 16 ranks stay guarded with one reader, too

The bound of 8 ranks a node had left a group of 16 ranks unguarded while only one control node besides the leader responds, where it was guarded before: a VM that freezes in a change would stop it for the freeze again.

--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -26,10 +26,11 @@
 constexpr Duration kMapTransit = Milliseconds(80);
 constexpr Duration kOrderTimePerRank = Milliseconds(1);
 
-// Maximum number of ranks to which one node sends guarded orders. On 0.15 of a
-// core, arming took twice as long with 24 ranks, and with 48 replies came too
-// late and most changes were given up. With 14 or 15 one change in a quiet day
-// stalled its group for too long in one play of two.
+// Groups of up to this size are always guarded.
+constexpr std::uint32_t kMaxGuardedGroup = 16;
+// Maximum number of ranks of a larger group to which one node sends guarded
+// orders. On 0.15 of a core, arming took twice as long with 24 ranks, and with
+// 48 replies came too late and most changes were given up.
 constexpr std::size_t kMaxGuardedRanks = 8;
 
 // Whether the order must not be sent to a rank whose VM is frozen: if a rank
@@ -111,7 +112,8 @@
   for (const PollingRound& part : schedule_.SplitByReader(ranks, now)) {
     groups::MulticastOrder multicast = whole;
     multicast.is_guarded =
-        IsGuarded(first.order) && part.ranks.size() <= kMaxGuardedRanks;
+        IsGuarded(first.order) &&
+        (ranks_ <= kMaxGuardedGroup || part.ranks.size() <= kMaxGuardedRanks);
     if (!part.reader.has_value() && !multicast.is_guarded) {
       continue;
     }
