The first change of a new leader in an idle group comes into force sooner

Cause: a step that no earlier leader can have released was up to 16 steps ahead (8 that any leader may hold, 8 by term). Now 2 and 6: changes need one or two steps of lead, and terms are six apart where an order would have to be late by that many elections.

--- a/src/libs/groups/step_switch.cc
+++ b/src/libs/groups/step_switch.cc
@@ -11,10 +11,10 @@
 constexpr Duration kMinStepTime = Milliseconds(1);
 constexpr Duration kMaxStepTime = Milliseconds(1000);
 
-constexpr std::uint64_t kMaxStepsAhead = 8;
+constexpr std::uint64_t kMaxStepsAhead = 2;
 // Terms with the same remainder are so far apart that no order of the earlier
 // one is still in transit.
-constexpr std::uint64_t kTermSlots = 8;
+constexpr std::uint64_t kTermSlots = 6;
 
 }  // namespace
 
