Answers that ask for a pause or say that their target leaves show in the trail

The logs can't tell a gateway that never reads the field from one that forgets it: no line says that an answer named a time. Now `retry_after_ms=N` (or `retry_after_unreadable`) and `leaving` stand behind the status of a send, and bilberryspool_pauses_requested_total counts the answers. Several fields in one answer: the longest counts. Answers to another request and of another target (421) are not read. No decision changes.

--- a/src/libs/traffic/header_names.h
+++ b/src/libs/traffic/header_names.h
@@ -39,6 +39,8 @@
   // From a target: the number of requests per second that it accepts from all
   // callers together. Valid as long as the target sends it.
   std::string limit;
+  // From a target: "1" in all answers once it is about to terminate.
+  std::string leaving;
 };
 
 // Parses a complete configuration as sent by the operator, or returns a
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -319,8 +319,8 @@
       state_.targets.OnLoad(choice.target, load->running, load->waiting, now);
     }
   }
-  UpdateDeclaredLimit(choice, head);
   send_log_ += " " + std::to_string(head.status);
+  ReadTargetState(choice, head);
   const bool is_refusal =
       head.headers.Find(header_names.not_executed).has_value();
   if (head.status == net::status::kMisdirected || is_refusal) {
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -100,10 +100,17 @@
                   traffic::TargetOutcome outcome);
   RequestTimes TimesAt(TimePoint now) const;
 
-  // relay_call_limits.cc
+  // relay_call_target_state.cc
+  // Reads what an answer says about its target, apart from its load.
+  void ReadTargetState(const traffic::Choice& choice,
+                       const net::HttpResponseHead& head);
   // Reads the limit that the target declares for all callers from its answer.
   void UpdateDeclaredLimit(const traffic::Choice& choice,
                            const net::HttpResponseHead& head);
+  // Reads the time for which the target wants no requests from this gateway.
+  void UpdateRequestedPause(const net::HttpResponseHead& head);
+  // Reads whether the target is about to terminate.
+  void UpdateLeaving(const net::HttpResponseHead& head);
   // Refuses a request because all targets are full or have reached their
   // limits.
   void RefuseFull();
--- a/src/plugins/gateway/relay_call_limits.cc
+++ b/src/plugins/gateway/relay_call_target_state.cc
@@ -1,10 +1,14 @@
-// The part of RelayCall for limits that targets declare for all callers.
+// The part of RelayCall for what answers say about their target: limits for all
+// callers, requested pauses, and whether it is about to terminate.
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 
 #include "libs/declared_limits/limit_codec.h"
 #include "libs/net/http_status.h"
 #include "libs/net/steady_time.h"
+#include "libs/traffic/retry_after.h"
 #include "plugins/gateway/relay_call.h"
 
 namespace bilberryspool::gateway {
@@ -15,9 +19,25 @@
 
 // Lower bound of the delay after which a caller is asked to retry.
 constexpr Duration kMinRetryAfter = Milliseconds(100);
+constexpr std::string_view kRetryAfter = "Retry-After";
 
 }  // namespace
 
+void RelayCall::ReadTargetState(const traffic::Choice& choice,
+                                const net::HttpResponseHead& head) {
+  // Another target answers at the address.
+  if (head.status == net::status::kMisdirected) {
+    return;
+  }
+  UpdateDeclaredLimit(choice, head);
+  const auto id = head.headers.Find(state_.header_names.request_id);
+  const bool is_for_other_request = id.has_value() && *id != head_.request_id;
+  if (!is_for_other_request) {
+    UpdateRequestedPause(head);
+    UpdateLeaving(head);
+  }
+}
+
 // An answer that is unsigned or from another target says nothing about the
 // limit of this target.
 void RelayCall::UpdateDeclaredLimit(const traffic::Choice& choice,
@@ -27,7 +47,7 @@
   const bool is_its_own =
       head.headers.Find(header_names.signature).has_value() ||
       head.headers.Find(header_names.not_executed).has_value();
-  if (head.status == net::status::kMisdirected || (!text && !is_its_own)) {
+  if (!text && !is_its_own) {
     return;
   }
   std::optional<double> limit;
@@ -48,6 +68,39 @@
   }
 }
 
+void RelayCall::UpdateRequestedPause(const net::HttpResponseHead& head) {
+  if (head.status != net::status::kUnavailable) {
+    return;
+  }
+  std::optional<Duration> pause;
+  for (const net::HttpHeader& field : head.headers) {
+    if (!net::EqualNames(field.name, kRetryAfter)) {
+      continue;
+    }
+    const auto read = traffic::ReadRetryAfter(field.value);
+    if (!read.has_value()) {
+      send_log_ += " retry_after_unreadable";
+      continue;
+    }
+    pause = std::max(pause.value_or(*read), *read);
+  }
+  if (!pause.has_value()) {
+    return;
+  }
+  send_log_ += " retry_after_ms=" + std::to_string(*pause / Milliseconds(1));
+  state_.metrics
+      .CounterFor({"bilberryspool_pauses_requested_total",
+                   "Answers of targets that asked for a pause"},
+                  {{"service", service_.value()}})
+      .Add();
+}
+
+void RelayCall::UpdateLeaving(const net::HttpResponseHead& head) {
+  if (head.headers.ValueOr(state_.header_names.leaving, "") == "1") {
+    send_log_ += " leaving";
+  }
+}
+
 void RelayCall::RefuseFull() {
   const auto wait = state_.targets.TimeUntilWithinLimit(service_, SteadyNow());
   if (!wait.has_value()) {
