--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -31,6 +31,14 @@
               "",
               "requests a second that its answers name as the limit");
 DEFINE_string(arrivals, "", "file to append the time of each request to, ms");
+DEFINE_string(retry_after,
+              "",
+              "it refuses all requests with 503 and this field, until told "
+              "otherwise at /retry_after/SECONDS (empty: it serves)");
+DEFINE_string(requests,
+              "",
+              "file to append a line to for each request: its time in ms, its "
+              "id, and what was answered");
 DEFINE_string(record,
               "",
               "file to append a line to for each run of such a body");
@@ -114,6 +122,9 @@
     if (!FLAGS_limit.empty()) {
       head.headers.Add("Server-Limit", FLAGS_limit);
     }
+    if (is_leaving_) {
+      head.headers.Add("Server-Leaving", "1");
+    }
     head.headers.Add(
         "Bilberryspool-Attempt-Id",
         std::string(request.headers.ValueOr("Bilberryspool-Attempt-Id", "")));
@@ -133,13 +144,42 @@
       Answer(exchange, 200, "");
       return;
     }
+    const std::string retry_after = "/retry_after/";
+    if (request.target.starts_with(retry_after)) {
+      retry_after_ = request.target.substr(retry_after.size());
+      Answer(exchange, 200, "");
+      return;
+    }
+    if (request.target == "/leave") {
+      is_leaving_ = true;
+      Answer(exchange, 200, "");
+      return;
+    }
     if (request.headers.ValueOr("Bilberryspool-Expect-Instance", id_) != id_) {
       Answer(exchange, 421, "");
       return;
     }
+    if (!retry_after_.empty()) {
+      RecordRequest(request, "refused");
+      Refuse(exchange);
+      return;
+    }
+    RecordRequest(request, is_leaving_ ? "leaving" : "run");
     Run(exchange);
   }
 
+  // Simulates a target that is overloaded and asks for a pause.
+  void Refuse(net::HttpExchange& exchange) {
+    net::HttpResponseHead head;
+    head.status = 503;
+    head.headers.Add("Bilberryspool-Not-Executed", "1");
+    head.headers.Add("Retry-After", retry_after_);
+    if (is_leaving_) {
+      head.headers.Add("Server-Leaving", "1");
+    }
+    exchange.Respond(std::move(head), "");
+  }
+
   // Simulates an engine that crashes shortly after it started a request.
   void Crash() {
     constexpr Duration kCrashDelay = Milliseconds(20);
@@ -148,13 +188,27 @@
     std::_Exit(1);
   }
 
-  static void RecordArrival() {
+  static std::int64_t SteadyMilliseconds() {
     using std::chrono::milliseconds;
     using std::chrono::steady_clock;
+    const auto now = steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+  }
+
+  static void RecordArrival() {
     if (!FLAGS_arrivals.empty()) {
-      const auto now = steady_clock::now().time_since_epoch();
       std::ofstream(FLAGS_arrivals, std::ios::app)
-          << std::chrono::duration_cast<milliseconds>(now).count() << "\n";
+          << SteadyMilliseconds() << "\n";
+    }
+  }
+
+  void RecordRequest(const net::HttpRequest& request,
+                     const std::string& answer) const {
+    if (!FLAGS_requests.empty()) {
+      std::ofstream(FLAGS_requests, std::ios::app)
+          << SteadyMilliseconds() << " " << id_ << " "
+          << request.headers.ValueOr("Bilberryspool-Attempt-Id", "none") << " "
+          << answer << "\n";
     }
   }
 
@@ -200,6 +254,8 @@
   std::vector<net::Endpoint> control_;
   traffic::TargetAnnouncement announcement_;
   std::map<std::string, int> runs_;
+  std::string retry_after_ = FLAGS_retry_after;
+  bool is_leaving_ = false;
   net::HttpClient client_;
   net::HttpServer server_;
 };
