A target gets nothing from a gateway that it has asked for a pause

Cause: nothing read Retry-After of a target's 503.

Ruled out: read but forgotten (no success, restart or announcement came between); sent late (0.9 and 1.3 s after the answer, connections time out after 0.5 s); sent for want of another (others served at load 1 of 12 in the same moments).

Now TargetPauses keeps for each target and run until when it wants nothing; a target is not chosen in its pause whoever asks (first sends, retries, moves, resumed streams), nor for want of another: then callers are refused at once, until the first pause ends, and spread over a second at most. Grants for limits leave paused targets out.

--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -150,6 +150,16 @@
          (IsFresh(target, now) ? target.others_load : mean_others_load);
 }
 
+double TargetPool::MinLoadOf(const Target& target,
+                             double load,
+                             TimePoint now) const {
+  const TargetAnnouncement& known = target.announcement;
+  const bool is_guess =
+      !IsFresh(target, now) &&
+      pauses_.HasJustEnded(known.target, known.incarnation, now);
+  return is_guess ? target.in_flight : load;
+}
+
 double TargetPool::CostOf(const Target& target, double load, TimePoint now) {
   const double slots = std::max<std::uint32_t>(target.announcement.slots, 1);
   double cost = load / slots;
@@ -191,7 +201,8 @@
            reported.standing == Standing::kReady &&
            tried.count(item.first) == 0 && !IsSlow(target) &&
            !target.is_silent() && now >= target.cooldown_until &&
-           now >= target.full_until && IsWithinLimit(target, now) &&
+           now >= target.full_until && !IsPaused(target, now) &&
+           IsWithinLimit(target, now) &&
            !liveness_.IsSuspect(item.first, now) &&
            LoadOf(target, mean_others_load, now) + 1.0 <= reported.slots;
   });
@@ -204,7 +215,8 @@
 
 TargetPool::LimitedTargets TargetPool::LimitedTargetsOf(
     const ServiceId& service,
-    const std::set<TargetId>& tried) const {
+    const std::set<TargetId>& tried,
+    TimePoint now) const {
   LimitedTargets limited;
   if (limits_.size() == 0) {
     return limited;
@@ -212,7 +224,7 @@
   for (const auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
     if (reported.service != service || reported.standing != Standing::kReady ||
-        target.is_silent() || tried.contains(id)) {
+        target.is_silent() || IsPaused(target, now) || tried.contains(id)) {
       continue;
     }
     const TargetRun run = RunOf(reported);
@@ -237,15 +249,43 @@
       continue;
     }
     const TargetRun run = RunOf(reported);
-    if (!limits_.IsLimited(run)) {
+    const Duration pause = pauses_.TimeLeft(id, reported.incarnation, now);
+    if (pause == Duration::zero() && !limits_.IsLimited(run)) {
       return std::nullopt;
     }
-    const Duration wait = limits_.WaitFor(run, now);
+    const Duration wait = std::max(pause, limits_.WaitFor(run, now));
     soonest = std::min(soonest.value_or(wait), wait);
   }
   return soonest;
 }
 
+TargetPool::PausedTargets TargetPool::PausedTargetsOf(const ServiceId& service,
+                                                      TimePoint now) const {
+  PausedTargets paused;
+  for (const auto& [id, target] : targets_) {
+    const TargetAnnouncement& reported = target.announcement;
+    if (reported.service != service || reported.standing != Standing::kReady) {
+      continue;
+    }
+    const Duration left = pauses_.TimeLeft(id, reported.incarnation, now);
+    if (left == Duration::zero()) {
+      paused.are_all = false;
+      continue;
+    }
+    paused.first_end_after =
+        paused.count == 0 ? left : std::min(paused.first_end_after, left);
+    ++paused.count;
+  }
+  return paused;
+}
+
+NoChoice TargetPool::ReasonOf(const Candidate& none) {
+  if (none.is_any_full) {
+    return NoChoice::kFull;
+  }
+  return none.is_any_paused ? NoChoice::kPaused : NoChoice::kInCooldown;
+}
+
 TargetPool::Candidate TargetPool::FindCheapest(const ServiceId& service,
                                                const std::set<TargetId>& tried,
                                                bool may_be_slow,
@@ -265,9 +305,13 @@
 #endif
     best.is_any_known = true;
     const double max_load = options_.max_load_factor * reported.slots;
+    if (IsPaused(target, now)) {
+      best.is_any_paused = true;
+      continue;
+    }
     const double load = LoadOf(target, mean_others_load, now);
     if (now < target.full_until || !IsWithinLimit(target, now) ||
-        (reported.slots > 0 && load >= max_load)) {
+        (reported.slots > 0 && MinLoadOf(target, load, now) >= max_load)) {
       best.is_any_full = true;
       continue;
     }
@@ -297,7 +341,7 @@
   // service counts as full.
   if (best.target == nullptr ||
       (best.is_any_full && best.cost >= kCooldownCost)) {
-    return best.is_any_full ? NoChoice::kFull : NoChoice::kInCooldown;
+    return ReasonOf(best);
   }
   Target& chosen = *best.target;
   ++chosen.in_flight;
@@ -357,6 +401,18 @@
   return found != targets_.end() && PaceOf(found->second) >= kUnresponsivePace;
 }
 
+bool TargetPool::OnPauseRequested(const TargetRun& run,
+                                  Duration length,
+                                  TimePoint now) {
+  const auto found = targets_.find(run.target);
+  // A later run of the target has not asked for anything.
+  if (found == targets_.end() ||
+      found->second.announcement.incarnation != run.incarnation) {
+    return false;
+  }
+  return pauses_.OnRequested(run, length, now);
+}
+
 void TargetPool::OnLoad(const TargetId& id,
                         std::uint32_t running,
                         std::uint32_t waiting,
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -23,6 +23,7 @@
 #include "libs/declared_limits/limit_accounts.h"
 #include "libs/traffic/group_availability.h"
 #include "libs/traffic/target_liveness.h"
+#include "libs/traffic/target_pauses.h"
 #include "libs/traffic/target_registry.h"
 
 namespace bilberryspool::traffic {
@@ -74,6 +75,7 @@
 enum class NoChoice {
   kNone,        // no target of the service is known
   kFull,        // all targets have the maximum number of requests
+  kPaused,      // all remaining targets have asked for a pause
   kInCooldown,  // all remaining targets failed recently
 };
 
@@ -110,6 +112,11 @@
               std::uint32_t waiting,
               TimePoint now);
 
+  // Records that a run of a target refused a request of this gateway and wants
+  // no further ones for `length`. It gets none until then, also if there is no
+  // other target. Returns whether it was not paused before.
+  bool OnPauseRequested(const TargetRun& run, Duration length, TimePoint now);
+
   // Call when the first byte of a successful response was received, `waited`
   // after the request was sent.
   void OnFirstByte(const TargetId& target, Duration waited, TimePoint now);
@@ -146,17 +153,28 @@
   // Accounts of the targets that declare a limit.
   declared_limits::LimitAccounts& limits() { return limits_; }
   const declared_limits::LimitAccounts& limits() const { return limits_; }
-  // The ready targets of `service` that declare a limit, excluding `tried`.
+  // The ready targets of `service` that declare a limit, excluding `tried` and
+  // those that are paused.
   struct LimitedTargets {
     std::vector<declared_limits::DeclaredLimit> targets;
-    bool are_all = true;  // every ready target declares a limit
+    bool are_all = true;  // every ready target that is not paused has one
   };
   LimitedTargets LimitedTargetsOf(const ServiceId& service,
-                                  const std::set<TargetId>& tried) const;
+                                  const std::set<TargetId>& tried,
+                                  TimePoint now) const;
   // If every ready target of `service` declares a limit: the time until the
   // first of them takes one more request from this gateway. Otherwise nothing.
   std::optional<Duration> TimeUntilWithinLimit(const ServiceId& service,
                                                TimePoint now) const;
+  // The ready targets of `service` that have asked for a pause.
+  struct PausedTargets {
+    std::size_t count = 0;
+    bool are_all = true;          // every ready target is paused
+    Duration first_end_after{0};  // time until the first pause ends
+  };
+  PausedTargets PausedTargetsOf(const ServiceId& service, TimePoint now) const;
+  // The number of paused targets of all services.
+  std::size_t CountPaused(TimePoint now) const { return pauses_.Count(now); }
 
   struct Counts {
     std::size_t ready = 0;
@@ -202,6 +220,10 @@
   double PaceOf(const Target& target) const;
   bool IsSlow(const Target& target) const;
   bool IsWithinLimit(const Target& target, TimePoint now) const;
+  bool IsPaused(const Target& target, TimePoint now) const {
+    return pauses_.IsPaused(target.announcement.target,
+                            target.announcement.incarnation, now);
+  }
   // The cheapest target, and why others were left out.
   struct Candidate {
     Target* target = nullptr;
@@ -209,7 +231,10 @@
     double load = 0.0;
     bool is_any_known = false;
     bool is_any_full = false;
+    bool is_any_paused = false;
   };
+  // Why none of the known targets is chosen.
+  static NoChoice ReasonOf(const Candidate& none);
   // Finds the cheapest target that may take a request, with or without the slow
   // ones.
   Candidate FindCheapest(const ServiceId& service,
@@ -224,6 +249,10 @@
   double LoadOf(const Target& target,
                 double mean_others_load,
                 TimePoint now) const;
+  // The part of the estimated `load` that is not guessed from other targets. In
+  // a pause the others have had the requests of the paused target, too, so that
+  // their load says nothing about it.
+  double MinLoadOf(const Target& target, double load, TimePoint now) const;
   double CostOf(const Target& target, double load, TimePoint now);
 
   TargetPoolOptions options_;
@@ -233,6 +262,7 @@
   GroupAvailability availability_{GroupAvailabilityOptions{}};
   declared_limits::LimitAccounts limits_{
       declared_limits::LimitAccountsOptions{}};
+  TargetPauses pauses_;
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -203,6 +203,10 @@
         .GaugeFor({"bilberryspool_limit_share",
                    "Requests a second that this gateway may send to them"})
         .Set(state_.targets.limits().total_share());
+    state_.metrics
+        .GaugeFor({"bilberryspool_paused_targets",
+                   "Targets that have asked this gateway for a pause"})
+        .Set(static_cast<double>(state_.targets.CountPaused(SteadyNow())));
     net::HttpResponseHead head;
     head.headers.Add("Content-Type", "text/plain; version=0.0.4");
     exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
--- a/src/plugins/gateway/limit_grants.cc
+++ b/src/plugins/gateway/limit_grants.cc
@@ -10,7 +10,7 @@
 void LimitGrants::AcquireGrant(const ServiceId& service,
                                const std::set<TargetId>& tried) {
   const TimePoint now = SteadyNow();
-  const auto limited = targets_.LimitedTargetsOf(service, tried);
+  const auto limited = targets_.LimitedTargetsOf(service, tried, now);
   if (limited.targets.empty()) {
     return;
   }
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -401,6 +401,11 @@
     case traffic::NoChoice::kFull:
       RefuseFull();
       return;
+    case traffic::NoChoice::kPaused:
+      if (!RefuseIfAllPaused()) {
+        Refuse(RetryAfter(), "all other targets asked for a pause");
+      }
+      return;
     case traffic::NoChoice::kInCooldown:
       Refuse(RetryAfter(), "all targets failed lately");
       return;
@@ -419,7 +424,9 @@
       Finish("target_failed", reason);
       return;
     case RelayStep::kRefuse:
-      Refuse(RetryAfter(), reason);
+      if (!RefuseIfAllPaused()) {
+        Refuse(RetryAfter(), reason);
+      }
       return;
     case RelayStep::kFailTimeout:
       Fail(net::status::kGatewayTimeout, reason);
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -108,12 +108,19 @@
   void UpdateDeclaredLimit(const traffic::Choice& choice,
                            const net::HttpResponseHead& head);
   // Reads the time for which the target wants no requests from this gateway.
-  void UpdateRequestedPause(const net::HttpResponseHead& head);
+  void UpdateRequestedPause(const traffic::Choice& choice,
+                            const net::HttpResponseHead& head);
   // Reads whether the target is about to terminate.
   void UpdateLeaving(const net::HttpResponseHead& head);
   // Refuses a request because all targets are full or have reached their
   // limits.
   void RefuseFull();
+  // The delay after which a caller is asked to retry if some targets are full
+  // and the others, if any, paused.
+  Duration RetryAfterFull();
+  // If all targets have asked for a pause, refuses the request until the first
+  // pause has ended, and returns true.
+  bool RefuseIfAllPaused();
 
   // relay_call_leave.cc
   // Waits until the quarantine lets the request run. Answers the caller and
--- a/src/plugins/gateway/relay_call_target_state.cc
+++ b/src/plugins/gateway/relay_call_target_state.cc
@@ -33,7 +33,7 @@
   const auto id = head.headers.Find(state_.header_names.request_id);
   const bool is_for_other_request = id.has_value() && *id != head_.request_id;
   if (!is_for_other_request) {
-    UpdateRequestedPause(head);
+    UpdateRequestedPause(choice, head);
     UpdateLeaving(head);
   }
 }
@@ -68,7 +68,8 @@
   }
 }
 
-void RelayCall::UpdateRequestedPause(const net::HttpResponseHead& head) {
+void RelayCall::UpdateRequestedPause(const traffic::Choice& choice,
+                                     const net::HttpResponseHead& head) {
   if (head.status != net::status::kUnavailable) {
     return;
   }
@@ -93,6 +94,15 @@
                    "Answers of targets that asked for a pause"},
                   {{"service", service_.value()}})
       .Add();
+  const bool is_new = state_.targets.OnPauseRequested(
+      {choice.target, choice.incarnation}, *pause, SteadyNow());
+  if (is_new) {
+    state_.log.Info("A target asked for a pause.",
+                    {{"target", choice.target.value()},
+                     {"incarnation", choice.incarnation.value()},
+                     {"ms", *pause / Milliseconds(1)},
+                     {"id", head_.request_id}});
+  }
 }
 
 void RelayCall::UpdateLeaving(const net::HttpResponseHead& head) {
@@ -104,11 +114,31 @@
 void RelayCall::RefuseFull() {
   const auto wait = state_.targets.TimeUntilWithinLimit(service_, SteadyNow());
   if (!wait.has_value()) {
-    Refuse(RetryAfter(), "all targets full");
+    Refuse(RetryAfterFull(), "all targets full");
     return;
   }
   Refuse(std::clamp(*wait, kMinRetryAfter, RetryAfter()),
          "all targets have as much as their limits allow");
 }
 
+Duration RelayCall::RetryAfterFull() {
+  const auto paused = state_.targets.PausedTargetsOf(service_, SteadyNow());
+  const Duration retry_after = RetryAfter();
+  if (paused.count == 0) {
+    return retry_after;
+  }
+  return std::min(retry_after, traffic::RetryAfterPause(paused.first_end_after,
+                                                        state_.random));
+}
+
+bool RelayCall::RefuseIfAllPaused() {
+  const auto paused = state_.targets.PausedTargetsOf(service_, SteadyNow());
+  if (paused.count == 0 || !paused.are_all) {
+    return false;
+  }
+  Refuse(traffic::RetryAfterPause(paused.first_end_after, state_.random),
+         "all targets asked for a pause");
+  return true;
+}
+
 }  // namespace bilberryspool::gateway
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -44,6 +44,8 @@
       return "none";
     case NoChoice::kFull:
       return "full";
+    case NoChoice::kPaused:
+      return "paused";
     case NoChoice::kInCooldown:
       return "cooldown";
   }
@@ -208,6 +210,108 @@
   CHECK(Chosen(pool, kStart + Milliseconds(250)) == "a");
 }
 
+TargetRun RunOf(const std::string& target, std::uint64_t incarnation = 0) {
+  return {TargetId(target), Incarnation(incarnation)};
+}
+
+// Guards against requests to a target that has asked this gateway for a pause:
+// a refusal had an effect for 200 ms only, whatever the target asked for.
+TEST_CASE("a paused target gets nothing, also if there is no other one") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  CHECK(Chosen(pool, kStart, {TargetId("b")}) == "a");
+  CHECK(Chosen(pool, kStart, {TargetId("b")}) == "a");
+  CHECK(pool.OnPauseRequested(RunOf("a"), Seconds(3), kStart));
+  pool.OnEnded(TargetId("a"), TargetOutcome::kFull, kStart);
+  // Neither an answer that was under way nor an announcement ends the pause.
+  pool.OnEnded(TargetId("a"), TargetOutcome::kGood, kStart + Milliseconds(300));
+  pool.Update("c1", false, {Record("a", Standing::kReady, 2)},
+              kStart + Milliseconds(400));
+  pool.Update("c2", true, {Record("a", Standing::kReady, 3)},
+              kStart + Milliseconds(500));
+  const TimePoint end = kStart + Seconds(3);
+  CHECK(Chosen(pool, end - Milliseconds(1)) == "b");
+  CHECK(Chosen(pool, end - Milliseconds(1), {TargetId("b")}) == "paused");
+  CHECK(Chosen(pool, end, {TargetId("b")}) == "a");
+}
+
+TEST_CASE("with all targets paused, the end of the first pause is known") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.OnPauseRequested(RunOf("a"), Seconds(30), kStart);
+  CHECK_FALSE(pool.PausedTargetsOf(kService, kStart).are_all);
+  pool.OnPauseRequested(RunOf("b"), Seconds(2), kStart);
+  const auto paused = pool.PausedTargetsOf(kService, kStart + Seconds(1));
+  CHECK(paused.are_all);
+  CHECK(paused.count == 2);
+  CHECK(paused.first_end_after == Seconds(1));
+  CHECK(Chosen(pool, kStart + Seconds(1)) == "paused");
+  CHECK(Chosen(pool, kStart + Seconds(2)) == "b");
+  CHECK(pool.PausedTargetsOf(ServiceId("other"), kStart).count == 0);
+}
+
+// Guards against a service that is down for longer than its targets asked for.
+TEST_CASE("a pause concerns one run of the target and no target that failed") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {RecordOf(7, 40, "old:80")}, kStart);
+  CHECK_FALSE(pool.OnPauseRequested(RunOf("a", 5), Seconds(30), kStart));
+  CHECK_FALSE(pool.OnPauseRequested(RunOf("x"), Seconds(30), kStart));
+  CHECK(AddressChosen(pool, kStart) == "old:80");
+  CHECK(pool.OnPauseRequested(RunOf("a", 7), Seconds(30), kStart));
+  CHECK(AddressChosen(pool, kStart) == "none");
+  pool.Update("c1", false, {RecordOf(9, 1, "new:80")}, kStart + Seconds(1));
+  CHECK(AddressChosen(pool, kStart + Seconds(1)) == "new:80");
+  // A target that failed lately may serve; a paused one has said that it won't.
+  pool.Update("c1", false, {Record("b")}, kStart + Seconds(1));
+  pool.OnPauseRequested(RunOf("a", 9), Seconds(3), kStart + Seconds(1));
+  pool.OnEnded(TargetId("b"), TargetOutcome::kFailed, kStart + Seconds(1));
+  CHECK(Chosen(pool, kStart + Seconds(1)) == "b");
+}
+
+// Guards against callers that are refused after a pause, as the paused target
+// was taken to be as full as the others that had its requests meanwhile.
+TEST_CASE("after its pause a target is not full because others are") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.OnPauseRequested(RunOf("a"), Seconds(3), kStart);
+  const TimePoint end = kStart + Seconds(3);
+  pool.OnLoad(TargetId("b"), 4, 6, end);
+  CHECK(Chosen(pool, end) == "a");
+  pool.OnLoad(TargetId("a"), 4, 6, end);
+  CHECK(Chosen(pool, end) == "full");
+}
+
+// Guards against a removed record that takes the pause of the target with it.
+TEST_CASE("a pause outlasts the record of a target that nobody reports") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a")}, kStart);
+  pool.OnPauseRequested(RunOf("a"), Seconds(400), kStart);
+  pool.Update("c1", true, {}, kStart);
+  pool.Update("c1", true, {}, kStart + Seconds(200));
+  CHECK(Chosen(pool, kStart + Seconds(200)) == "none");
+  pool.Update("c1", true, {Record("a")}, kStart + Seconds(300));
+  CHECK(Chosen(pool, kStart + Seconds(300)) == "paused");
+}
+
+// Guards against grants for a limited target that can't be used in its pause.
+TEST_CASE("a limited target that is paused is not asked grants for") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  pool.limits().Adopt("c1",
+                      {{{TargetId("a"), Incarnation(0)}, 4.0, 0.5},
+                       {{TargetId("b"), Incarnation(0)}, 4.0, 0.5}},
+                      kStart);
+  CHECK(pool.LimitedTargetsOf(kService, {}, kStart).targets.size() == 2);
+  pool.OnPauseRequested(RunOf("a"), Seconds(3), kStart);
+  const auto limited = pool.LimitedTargetsOf(kService, {}, kStart);
+  REQUIRE(limited.targets.size() == 1);
+  CHECK(limited.targets.front().run.target == TargetId("b"));
+  CHECK(limited.are_all);
+  // The limit of the paused target has room before its pause ends.
+  pool.OnPauseRequested(RunOf("b"), Seconds(9), kStart);
+  CHECK(pool.TimeUntilWithinLimit(kService, kStart) == Seconds(3));
+}
+
 TEST_CASE("a target that was replaced at its address is not used") {
   TargetPool pool = MakePool();
   pool.Update("c1", true, {Record("a")}, kStart);
