A target gets nothing more once its answers say that it leaves

Cause: the field Server-Leaving was not read. Control nodes tell of a target that leaves only if it announced so and the announcement reached one of them.

Now the first head of an answer with the field ends the choice of that run of the target at this gateway, for good: announcements, a control node that starts again and successes of what was under way don't bring it back, a later run of the target is ready. Streams that run there go on. Answers to another request and of another target (421), and values other than 1, don't count.

--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -401,6 +401,20 @@
   return found != targets_.end() && PaceOf(found->second) >= kUnresponsivePace;
 }
 
+bool TargetPool::OnLeaving(const TargetRun& run) {
+  const auto found = targets_.find(run.target);
+  if (found == targets_.end()) {
+    return false;
+  }
+  TargetAnnouncement& known = found->second.announcement;
+  if (known.incarnation != run.incarnation ||
+      known.standing != Standing::kReady) {
+    return false;
+  }
+  known.standing = Standing::kLeaving;
+  return true;
+}
+
 bool TargetPool::OnPauseRequested(const TargetRun& run,
                                   Duration length,
                                   TimePoint now) {
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -117,6 +117,11 @@
   // other target. Returns whether it was not paused before.
   bool OnPauseRequested(const TargetRun& run, Duration length, TimePoint now);
 
+  // Records that a run of a target said in an answer that it is about to
+  // terminate. It gets no requests from then on, whatever it announces. Returns
+  // whether it was ready before.
+  bool OnLeaving(const TargetRun& run);
+
   // Call when the first byte of a successful response was received, `waited`
   // after the request was sent.
   void OnFirstByte(const TargetId& target, Duration waited, TimePoint now);
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -111,7 +111,8 @@
   void UpdateRequestedPause(const traffic::Choice& choice,
                             const net::HttpResponseHead& head);
   // Reads whether the target is about to terminate.
-  void UpdateLeaving(const net::HttpResponseHead& head);
+  void UpdateLeaving(const traffic::Choice& choice,
+                     const net::HttpResponseHead& head);
   // Refuses a request because all targets are full or have reached their
   // limits.
   void RefuseFull();
--- a/src/plugins/gateway/relay_call_target_state.cc
+++ b/src/plugins/gateway/relay_call_target_state.cc
@@ -34,7 +34,7 @@
   const bool is_for_other_request = id.has_value() && *id != head_.request_id;
   if (!is_for_other_request) {
     UpdateRequestedPause(choice, head);
-    UpdateLeaving(head);
+    UpdateLeaving(choice, head);
   }
 }
 
@@ -105,10 +105,24 @@
   }
 }
 
-void RelayCall::UpdateLeaving(const net::HttpResponseHead& head) {
-  if (head.headers.ValueOr(state_.header_names.leaving, "") == "1") {
-    send_log_ += " leaving";
+void RelayCall::UpdateLeaving(const traffic::Choice& choice,
+                              const net::HttpResponseHead& head) {
+  if (head.headers.ValueOr(state_.header_names.leaving, "") != "1") {
+    return;
+  }
+  send_log_ += " leaving";
+  if (!state_.targets.OnLeaving({choice.target, choice.incarnation})) {
+    return;
   }
+  state_.metrics
+      .CounterFor({"bilberryspool_leaving_targets_total",
+                   "Targets whose answers said first that they leave"},
+                  {{"service", service_.value()}})
+      .Add();
+  state_.log.Info("A target leaves, as its answer says.",
+                  {{"target", choice.target.value()},
+                   {"incarnation", choice.incarnation.value()},
+                   {"id", head_.request_id}});
 }
 
 void RelayCall::RefuseFull() {
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -312,6 +312,43 @@
   CHECK(pool.TimeUntilWithinLimit(kService, kStart) == Seconds(3));
 }
 
+// Guards against new requests for a target that has said in its answers that it
+// leaves, while control nodes still report it as ready.
+TEST_CASE("a target whose answers say that it leaves gets no more requests") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {RecordOf(7, 40, "old:80"), Record("b")}, kStart);
+  CHECK_FALSE(pool.OnLeaving(RunOf("a", 5)));
+  CHECK_FALSE(pool.OnLeaving(RunOf("x")));
+  CHECK(pool.IsUsable(TargetId("a")));
+  CHECK(pool.OnLeaving(RunOf("a", 7)));
+  CHECK_FALSE(pool.OnLeaving(RunOf("a", 7)));
+  // Announcements, an answer that was under way, and a control node that has
+  // started again change nothing.
+  pool.Update("c1", false, {RecordOf(7, 41, "old:80")}, kStart + Seconds(1));
+  pool.Update("c2", true, {RecordOf(7, 42, "old:80")}, kStart + Seconds(2));
+  pool.Update("c1", true, {RecordOf(7, 43, "old:80")}, kStart + Seconds(3));
+  pool.OnEnded(TargetId("a"), TargetOutcome::kGood, kStart + Seconds(3));
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Chosen(pool, kStart + Seconds(4)) == "b");
+  }
+  CHECK(Chosen(pool, kStart + Seconds(4), {TargetId("b")}) == "none");
+  CHECK(pool.CountsOf(kService).leaving == 1);
+  // A later run of the target is ready.
+  pool.Update("c1", false, {RecordOf(9, 1, "new:80")}, kStart + Seconds(5));
+  CHECK(AddressChosen(pool, kStart + Seconds(5)) == "new:80");
+}
+
+// Guards against the memory of targets that are gone.
+TEST_CASE("a target that left is forgotten once nobody reports it") {
+  TargetPool pool = MakePool();
+  for (int i = 0; i < 50; ++i) {
+    const std::string name = "t" + std::to_string(i);
+    pool.Update("c1", true, {Record(name)}, kStart + Seconds(10 * i));
+    CHECK(pool.OnLeaving(RunOf(name)));
+    CHECK(pool.CountsOf(kService).leaving <= 13);
+  }
+}
+
 TEST_CASE("a target that was replaced at its address is not used") {
   TargetPool pool = MakePool();
   pool.Update("c1", true, {Record("a")}, kStart);
