--- a/src/tools/standin/standin_server.cc
+++ b/src/tools/standin/standin_server.cc
@@ -99,6 +99,7 @@
                       const bool& is_caller_gone);
   void HandlePlainCall(HttpExchange& exchange);
   void HandleOrder(HttpExchange& exchange);
+  void Refuse(HttpExchange& exchange);
   void HandleQuery(HttpExchange& exchange, const std::string& target);
   // These return false if the caller disconnected meanwhile.
   bool Wait(Duration duration, const bool& is_caller_gone);
@@ -107,6 +108,9 @@
   net::NetworkLoop& loop;
   EngineModel model;
   LockstepEngine lockstep;
+  // The Retry-After of all refusals; empty while it serves.
+  std::string retry_after;
+  std::uint64_t refusals = 0;
   std::unique_ptr<net::HttpServer> server;
 };
 
@@ -133,9 +137,14 @@
 }
 
 void StandinServer::Private::Handle(HttpExchange& exchange) {
+  constexpr std::string_view kRefusePrefix = "/refuse/";
   const std::string target = exchange.request().target;
   const bool is_completion =
       target == "/v1/completions" || target == "/v1/chat/completions";
+  if (is_completion && !retry_after.empty()) {
+    Refuse(exchange);
+    return;
+  }
   if (is_completion) {
     HandleCompletion(exchange);
     return;
@@ -149,6 +158,11 @@
     RespondJson(exchange, 200, json::object{{"stalled", model.is_stalled()}});
     return;
   }
+  if (target.starts_with(kRefusePrefix)) {
+    retry_after = target.substr(kRefusePrefix.size());
+    RespondJson(exchange, 200, json::object{{"retry_after", retry_after}});
+    return;
+  }
   if (lockstep.Handle(exchange)) {
     return;
   }
@@ -156,9 +170,21 @@
     HandleQuery(exchange, target);
     return;
   }
+  if (!retry_after.empty()) {
+    Refuse(exchange);
+    return;
+  }
   HandlePlainCall(exchange);
 }
 
+void StandinServer::Private::Refuse(HttpExchange& exchange) {
+  ++refusals;
+  net::HttpResponseHead head;
+  head.status = 503;
+  head.headers.Add("Retry-After", retry_after);
+  exchange.Respond(std::move(head), "refused\n");
+}
+
 void StandinServer::Private::HandleQuery(HttpExchange& exchange,
                                          const std::string& target) {
   constexpr std::string_view kWitnessPrefix = "/witness/";
@@ -172,6 +198,10 @@
                              {"experts", lockstep.ExpertTotals()}});
     return;
   }
+  if (target == "/refusals") {
+    RespondJson(exchange, 200, json::object{{"refusals", refusals}});
+    return;
+  }
   if (target == "/witness") {
     json::object runs;
     for (const auto& [request, count] : model.all_runs()) {
--- a/src/tools/standin/standin_server.h
+++ b/src/tools/standin/standin_server.h
@@ -23,6 +23,9 @@
 //   GET  /load            the load report, late by report_lag
 //   GET  /witness         {"id": runs, ...}; /witness/ID for one
 //   POST /stall, /resume  stops and resumes all progress
+//   POST /refuse/SECONDS  from now on completions and plain calls get 503 with
+//        that Retry-After; without SECONDS they are served again
+//   GET  /refusals        {"refusals": N}
 //   GET  /health
 //   those of LockstepEngine
 //   POST anything else    a plain call: runs once, answers with an echo
