An engine gets nothing from its agent in a pause that it has asked for

Callers of the product's own interface: an engine that refuses with Retry-After was sent 4 attempts within 2 s of a pause of 3 s, each of which cost its request a retry, until the entry ejected the target for its failures.

The agent handed the 503 to the entry.

Now the agent's gate refuses attempts ("paused", with what is left of the pause), so the pause holds whichever entry sends. Entries now leave out a target whose agent refuses for a pause, as they do where it is leaving, for 3 s at most: it may have been restarted.

ReadRetryAfter moves from traffic to net, for gateways and agents. An entry of an older version does not know the reason "paused" and takes the link for lost.

--- a/src/libs/attempts/attempt_gate.cc
+++ b/src/libs/attempts/attempt_gate.cc
@@ -123,6 +123,10 @@
   return !newest_evicted_token_.has_value() || *newest_evicted_token_ < token;
 }
 
+void AttemptGate::Pause(Duration length, TimePoint now) {
+  paused_until_ = std::max(paused_until_, now + length);
+}
+
 std::optional<RefusalReason> AttemptGate::ReasonToRefuse(TimePoint now) const {
   if (stopped_) {
     return RefusalReason::kStopped;
@@ -131,6 +135,9 @@
       now - *draining_since_ >= options_.drain_grace_period) {
     return RefusalReason::kLeaving;
   }
+  if (now < paused_until_) {
+    return RefusalReason::kPaused;
+  }
   if (running_ >= options_.capacity) {
     return RefusalReason::kOverCapacity;
   }
@@ -143,9 +150,12 @@
   // Another incarnation, or this one before it evicted the record, may have run
   // an earlier copy of the frame.
   const bool never_ran = HasCompleteRecordsFor(start.attempt.token, now);
-  const Duration retry_after = reason == RefusalReason::kOverCapacity
-                                   ? options_.over_capacity_retry
-                                   : Duration{};
+  Duration retry_after{};
+  if (reason == RefusalReason::kOverCapacity) {
+    retry_after = options_.over_capacity_retry;
+  } else if (reason == RefusalReason::kPaused) {
+    retry_after = paused_until_ - now;
+  }
   return {start.attempt.attempt, reason, never_ran, token(now), retry_after};
 }
 
--- a/src/libs/attempts/attempt_gate.h
+++ b/src/libs/attempts/attempt_gate.h
@@ -79,6 +79,10 @@
   // no effect.
   void StartDraining(TimePoint now);
 
+  // Refuses new work for `length`, as the engine asked for. An earlier pause is
+  // never shortened.
+  void Pause(Duration length, TimePoint now);
+
   // Refuses all new work from now on.
   void Stop() { stopped_ = true; }
 
@@ -114,6 +118,7 @@
   TimePoint started_;
   bool stopped_ = false;
   std::optional<TimePoint> draining_since_;
+  TimePoint paused_until_;
   // Incremented to invalidate all issued tokens when the records are full.
   TokenGeneration generation_;
   // The newest token whose record was evicted.
--- a/src/libs/attempts/messages.h
+++ b/src/libs/attempts/messages.h
@@ -146,6 +146,8 @@
   kOtherIncarnation,
   kTombstone,
   kOverCapacity,
+  // The engine has asked for a pause; `retry_after` is what is left of it.
+  kPaused,
   kMemoryFull,
   kLeaving,
   kStopped,
--- a/src/libs/attempts/messages_json.cc
+++ b/src/libs/attempts/messages_json.cc
@@ -17,9 +17,9 @@
 
 constexpr std::array<std::string_view, 4> kAbstainNames = {
     "restarted", "full", "stale_roster", "stopped"};
-constexpr std::array<std::string_view, 7> kRefusalNames = {
+constexpr std::array<std::string_view, 8> kRefusalNames = {
     "expired_token", "other_incarnation", "tombstone", "over_capacity",
-    "memory_full",   "leaving",           "stopped"};
+    "paused",        "memory_full",       "leaving",   "stopped"};
 
 // Longer durations are rejected as malformed.
 constexpr std::uint64_t kMaxDurationUs = 1ULL << 50U;
--- a/src/libs/traffic/retry_after.cc
+++ b/src/libs/net/retry_after.cc
@@ -1,11 +1,11 @@
-#include "libs/traffic/retry_after.h"
+#include "libs/net/retry_after.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdint>
 
-namespace bilberryspool::traffic {
+namespace bilberryspool::net {
 
 namespace {
 
@@ -27,4 +27,4 @@
                                                 kMicrosecondsPerSecond));
 }
 
-}  // namespace bilberryspool::traffic
+}  // namespace bilberryspool::net
--- a/src/plugins/agent/attempt_service.cc
+++ b/src/plugins/agent/attempt_service.cc
@@ -7,8 +7,10 @@
 #include "libs/base/overloaded.h"
 #include "libs/links/link_headers.h"
 #include "libs/net/cancellation.h"
+#include "libs/net/http_status.h"
 #include "libs/net/link_authenticator.h"
 #include "libs/net/network_loop.h"
+#include "libs/net/retry_after.h"
 #include "libs/net/steady_time.h"
 #include "libs/telemetry/metrics.h"
 #include "libs/telemetry/trace.h"
@@ -255,6 +257,7 @@
                                 net::HttpClientStream& stream) {
   attempt->cancellation->SetHandler([&stream] { stream.Cancel(); });
   attempt->log.SetHead(stream.head());
+  PauseIfRequested(*attempt, stream.head());
   AttemptPhase phase = AttemptPhase::kRunning;
   while (phase == AttemptPhase::kRunning) {
     net::StreamPiece piece = stream.Read(options_.engine_timeout);
@@ -269,6 +272,25 @@
   EndAttempt(attempt, phase);
 }
 
+void AttemptService::PauseIfRequested(const Attempt& attempt,
+                                      const net::HttpResponseHead& head) {
+  const auto text = head.headers.Find("Retry-After");
+  if (head.status != net::status::kUnavailable || !text.has_value()) {
+    return;
+  }
+  const auto length = net::ReadRetryAfter(*text);
+  if (!length.has_value()) {
+    log_.Warn(
+        "The engine's Retry-After is not a number of seconds.",
+        {{"attempt", attempt.start.attempt.attempt.value()}, {"text", *text}});
+    return;
+  }
+  gate_.Pause(*length, SteadyNow());
+  log_.Info("The engine asked for a pause.",
+            {{"attempt", attempt.start.attempt.attempt.value()},
+             {"ms", *length / Milliseconds(1)}});
+}
+
 void AttemptService::EndAttempt(const AttemptPointer& attempt,
                                 AttemptPhase phase) {
   const AttemptId& id = attempt->start.attempt.attempt;
--- a/src/plugins/agent/attempt_service.h
+++ b/src/plugins/agent/attempt_service.h
@@ -89,6 +89,9 @@
   // Sends the attempt to the engine and reads its answer into the log.
   void RunOnEngine(const AttemptPointer& attempt);
   void ReadAnswer(const AttemptPointer& attempt, net::HttpClientStream& stream);
+  // Starts no attempts for as long as the engine asks in a refusal.
+  void PauseIfRequested(const Attempt& attempt,
+                        const net::HttpResponseHead& head);
   void EndAttempt(const AttemptPointer& attempt, AttemptPhase phase);
   // Answers an entry that the attempt never reached the engine.
   void RefuseWithdrawn(net::HttpExchange& exchange, const Attempt& attempt);
--- a/src/plugins/callers/caller_state.cc
+++ b/src/plugins/callers/caller_state.cc
@@ -1,5 +1,6 @@
 #include "plugins/callers/caller_state.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "libs/net/steady_time.h"
@@ -46,19 +47,18 @@
   }
 }
 
-void CallerState::RecordLeavingTarget(const TargetId& target) {
-  leaving_targets[target] = net::SteadyNow();
+void CallerState::RecordRefusingTarget(const TargetId& target,
+                                       Duration length) {
+  TimePoint& until = refusing_until[target];
+  until = std::max(until, net::SteadyNow() + length);
 }
 
-std::vector<TargetId> CallerState::LeavingTargets() {
-  // A restarted target gets work again after this time.
-  static constexpr Duration kLeavingCooldown = Seconds(3);
+std::vector<TargetId> CallerState::RefusingTargets() {
   const TimePoint now = net::SteadyNow();
-  std::erase_if(leaving_targets, [now](const auto& row) {
-    return now - row.second >= kLeavingCooldown;
-  });
+  std::erase_if(refusing_until,
+                [now](const auto& row) { return now >= row.second; });
   std::vector<TargetId> targets;
-  for (const auto& [target, refused_at] : leaving_targets) {
+  for (const auto& [target, until] : refusing_until) {
     targets.push_back(target);
   }
   return targets;
--- a/src/plugins/callers/caller_state.h
+++ b/src/plugins/callers/caller_state.h
@@ -47,13 +47,13 @@
   // "RUNNING/QUEUED/LIMIT".
   void RecordLoad(const TargetId& target, std::string_view text);
 
-  // Records that an agent refused work because its target is leaving, which
-  // membership may not know yet. Such a target is excluded for
-  // kLeavingCooldown; otherwise each request would spend a retry on it until
-  // the retry budget is used up.
-  void RecordLeavingTarget(const TargetId& target);
+  // Records that an agent refuses all work for `length`, because its target is
+  // leaving, which membership may not know yet, or its engine has asked for a
+  // pause. Such a target is excluded meanwhile; otherwise each request would
+  // spend a retry on it until the retry budget is used up.
+  void RecordRefusingTarget(const TargetId& target, Duration length);
   // The targets that are excluded for now.
-  std::vector<TargetId> LeavingTargets();
+  std::vector<TargetId> RefusingTargets();
 
   net::NetworkLoop& loop;
   NodeId self;
@@ -73,7 +73,7 @@
   std::map<NodeId, net::Endpoint> holder_addresses;
   attempts::RequestMachineOptions machine_options;
   attempts::StallDetector stall;
-  std::map<TargetId, TimePoint> leaving_targets;
+  std::map<TargetId, TimePoint> refusing_until;
   std::uint64_t last_claim = 0;
   std::set<RequestRunner*> runners;
 };
--- a/src/plugins/callers/request_runner.cc
+++ b/src/plugins/callers/request_runner.cc
@@ -1,5 +1,6 @@
 #include "plugins/callers/request_runner.h"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <iomanip>
@@ -22,6 +23,9 @@
 
 constexpr std::size_t kMaxQueuedEvents = 64;
 constexpr std::size_t kMaxTokenTries = 3;
+// A target that refuses all work is tried again after this time at the latest:
+// it may have been restarted.
+constexpr Duration kMaxRefusalTime = Seconds(3);
 
 attempts::RequestSpec MakeSpec(CallerState& state,
                                const RequestContext& context) {
@@ -187,7 +191,7 @@
   request.own_domain = state_.own_domain;
   request.idempotent = context_.is_idempotent;
   request.excluded = std::move(excluded);
-  for (TargetId& target : state_.LeavingTargets()) {
+  for (TargetId& target : state_.RefusingTargets()) {
     request.excluded.push_back(std::move(target));
   }
   Duration retry_after{};
@@ -324,7 +328,10 @@
         refusal->reason == attempts::RefusalReason::kLeaving ||
         refusal->reason == attempts::RefusalReason::kStopped;
     if (is_leaving) {
-      state_.RecordLeavingTarget(attempt.target);
+      state_.RecordRefusingTarget(attempt.target, kMaxRefusalTime);
+    } else if (refusal->reason == attempts::RefusalReason::kPaused) {
+      state_.RecordRefusingTarget(
+          attempt.target, std::min(refusal->retry_after, kMaxRefusalTime));
     }
     return attempts::AttemptRefused{attempt.attempt, refusal->reason,
                                     refusal->never_ran, refusal->retry_after};
--- a/src/plugins/gateway/relay_call_target_state.cc
+++ b/src/plugins/gateway/relay_call_target_state.cc
@@ -7,8 +7,8 @@
 
 #include "libs/declared_limits/limit_codec.h"
 #include "libs/net/http_status.h"
+#include "libs/net/retry_after.h"
 #include "libs/net/steady_time.h"
-#include "libs/traffic/retry_after.h"
 #include "plugins/gateway/relay_call.h"
 
 namespace bilberryspool::gateway {
@@ -78,7 +78,7 @@
     if (!net::EqualNames(field.name, kRetryAfter)) {
       continue;
     }
-    const auto read = traffic::ReadRetryAfter(field.value);
+    const auto read = net::ReadRetryAfter(field.value);
     if (!read.has_value()) {
       send_log_ += " retry_after_unreadable";
       continue;
--- a/tests/auto/attempts/attempt_gate_test.cc
+++ b/tests/auto/attempts/attempt_gate_test.cc
@@ -62,6 +62,19 @@
         RefusalReason::kTombstone);
 }
 
+// Guards against attempts that are handed to an engine in a pause that it has
+// asked for.
+TEST_CASE("no attempt starts in a pause of the engine") {
+  AttemptGate gate({.capacity = 8}, Incarnation(1), TimeAt({}));
+  const AdmissionToken token = gate.token(TimeAt({}));
+  gate.Pause(Seconds(3), TimeAt({}));
+  gate.Pause(Seconds(1), TimeAt(Seconds(1)));
+  const auto in_pause = gate.Admit(Start("a", token), TimeAt(Seconds(2)));
+  CHECK(FinalRefusal(in_pause) == RefusalReason::kPaused);
+  CHECK(std::get<AttemptRefusal>(in_pause).retry_after == Seconds(1));
+  CHECK(IsAdmitted(gate.Admit(Start("b", token), TimeAt(Seconds(3)))));
+}
+
 // Guards against work that runs although its caller was told "not run". It
 // comes about if the gate does not remember a refusal for lack of capacity: a
 // second copy of the frame arrives when there is capacity again.
--- a/tests/auto/traffic/retry_after_test.cc
+++ b/tests/auto/net/retry_after_test.cc
@@ -1,8 +1,8 @@
-#include "libs/traffic/retry_after.h"
+#include "libs/net/retry_after.h"
 
 #include <doctest/doctest.h>
 
-namespace bilberryspool::traffic {
+namespace bilberryspool::net {
 namespace {
 
 // Guards against a malformed delay that is taken for an endless one or none.
@@ -33,4 +33,4 @@
 }
 
 }  // namespace
-}  // namespace bilberryspool::traffic
+}  // namespace bilberryspool::net
