--- a/tests/processes/platform/deployment_on_platform.sh
+++ b/tests/processes/platform/deployment_on_platform.sh
@@ -73,4 +73,28 @@
   for i in 0 1; do sum=$((sum + $(curl -s -m 5 "127.0.0.9:$((${P}70 + i))/witness/$1"))); done
   echo "$sum"
 }
-
+# Flags of a stand-in that announces its targets to all control nodes.
+SEEDS_OF_TARGETS="--control=127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
+start_targets() { # NAME PORT [FLAGS...]
+  local name="$1" port="$2"
+  shift 2
+  start "$name" "$BIN/platform_standin" --listen=127.0.0.9 --first_port="$port" "$SEEDS_OF_TARGETS" "$@"
+}
+start_platform() {
+  local i
+  for i in $CONTROLS; do start_control "$i"; done
+  for i in $GATEWAYS; do start_gateway "$i"; done
+}
+# Configures the deployment and waits until all gateways serve /a/.
+wait_until_served() {
+  local i
+  wait_until "the configuration is accepted" is_accepted 2 3 a
+  for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
+  for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+}
+expect_all_served() {
+  local i
+  for i in $GATEWAYS; do
+    expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
+  done
+}
--- a/tests/processes/platform/leaving_target_test.sh
+++ b/tests/processes/platform/leaving_target_test.sh
@@ -4,16 +4,10 @@
 . "$(dirname "$0")/deployment_on_platform.sh"
 
 DRAIN_MS=2000
-SEEDS_OF_TARGETS="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
-for i in $CONTROLS; do start_control "$i"; done
-for i in $GATEWAYS; do start_gateway "$i"; done
-start standin "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}70" --count=1 \
-  --requests="$RUN/requests" --control="$SEEDS_OF_TARGETS"
-start leaving "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}80" --count=1 --boot=-leaving \
-  --requests="$RUN/requests" --control="$SEEDS_OF_TARGETS"
-wait_until "the configuration is accepted" is_accepted 2 3 a
-for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
-for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+start_platform
+start_targets standin "${P}70" --count=1 --requests="$RUN/requests"
+start_targets leaving "${P}80" --count=1 --boot=-leaving --requests="$RUN/requests"
+wait_until_served
 
 send_for() { # GATEWAY SECONDS PATH
   local end=$((SECONDS + $2)) n=0
@@ -34,9 +28,7 @@
 done
 # shellcheck disable=SC2086
 wait $LOADS
-for i in $GATEWAYS; do
-  expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
-done
+expect_all_served
 expect "streams that are not whole" 0 "$(grep -vcx 20 "$RUN/events")"
 LATE="$(python3 - "$RUN/requests" "$DRAIN_MS" << 'P'
 import sys
--- a/tests/processes/platform/named_limit_test.sh
+++ b/tests/processes/platform/named_limit_test.sh
@@ -4,17 +4,11 @@
 # one request per second.
 . "$(dirname "$0")/deployment_on_platform.sh"
 
-for i in $CONTROLS; do start_control "$i"; done
-for i in $GATEWAYS; do start_gateway "$i"; done
 : > "$RUN/arrivals"
-SEEDS_OF_TARGETS="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
-start standin "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}70" --count=2 \
-  --control="$SEEDS_OF_TARGETS"
-start limited "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}80" --count=1 --boot=-limited \
-  --limit=1 --arrivals="$RUN/arrivals" --control="$SEEDS_OF_TARGETS"
-wait_until "the configuration is accepted" is_accepted 2 3 a
-for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
-for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+start_platform
+start_targets standin "${P}70" --count=2
+start_targets limited "${P}80" --count=1 --boot=-limited --limit=1 --arrivals="$RUN/arrivals"
+wait_until_served
 
 send_for() { # GATEWAY SECONDS: twelve requests a second
   local end=$((SECONDS + $2)) n=0
@@ -42,7 +36,5 @@
 print("most in 4 s: %d of %d; %d in all" % (most, 1.5 * 4 + 5, len(at)))
 sys.exit(0 if 0 < most <= 1.5 * 4 + 5 else 1)
 P
-for i in $GATEWAYS; do
-  expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
-done
+expect_all_served
 echo "passed"
--- a/tests/processes/platform/resting_target_test.sh
+++ b/tests/processes/platform/resting_target_test.sh
@@ -4,16 +4,10 @@
 . "$(dirname "$0")/deployment_on_platform.sh"
 
 REST_S=3
-SEEDS_OF_TARGETS="127.0.0.1:${P}10,127.0.0.2:${P}10,127.0.0.3:${P}10"
-for i in $CONTROLS; do start_control "$i"; done
-for i in $GATEWAYS; do start_gateway "$i"; done
-start standin "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}70" --count=2 \
-  --requests="$RUN/requests" --control="$SEEDS_OF_TARGETS"
-start resting "$BIN/platform_standin" --listen=127.0.0.9 --first_port="${P}80" --count=1 --boot=-resting \
-  --requests="$RUN/requests" --control="$SEEDS_OF_TARGETS"
-wait_until "the configuration is accepted" is_accepted 2 3 a
-for i in $GATEWAYS; do wait_until "gateway $i is ready" is_serving "$i"; done
-for i in $GATEWAYS; do wait_until "gateway $i serves" is_route "$i" a; done
+start_platform
+start_targets standin "${P}70" --count=2 --requests="$RUN/requests"
+start_targets resting "${P}80" --count=1 --boot=-resting --requests="$RUN/requests"
+wait_until_served
 
 set_retry_after() { # PORT SECONDS; none: the target serves again
   curl -s -m 5 -o /dev/null "127.0.0.9:$1/retry_after/${2:-}" || fail "the stand-in at port $1 does not answer"
@@ -59,9 +53,7 @@
 done
 # shellcheck disable=SC2086
 wait $LOADS
-for i in $GATEWAYS; do
-  expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
-done
+expect_all_served
 REFUSED="$(grep -c 'resting rest-.* refused' "$RUN/requests")"
 [ "$REFUSED" -ge 4 ] || fail "the target was not asked again after its pause: $REFUSED requests in 9 s"
 MOST="$(most_in_pause)"
