RelayCall's answers and reviews, and the pool's choice, in files of their own

Moved as they were: what answers callers (relay_call_answers.cc), what reviews the target of a send (relay_call_review.cc), what compares and chooses targets (target_pool_choice.cc). RunOf() becomes TargetAnnouncement::run(). No logic changes: traffic_test, gateway_test and the process tests of pauses, leaving and limits pass as before.

--- a/src/libs/traffic/target_announcement.h
+++ b/src/libs/traffic/target_announcement.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "libs/base/ids.h"
+#include "libs/base/target_run.h"
 
 namespace bilberryspool::traffic {
 
@@ -49,6 +50,8 @@
   std::uint64_t sequence = 0;
   std::optional<GroupMembership> group;
 
+  TargetRun run() const { return {target, incarnation}; }
+
   bool operator==(const TargetAnnouncement&) const = default;
 };
 
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -16,9 +16,6 @@
 
 namespace {
 
-// Used if it is not known when a target will have capacity.
-constexpr Duration kDefaultRetryAfter = Milliseconds(1000);
-
 // Part of the caller's time that is reserved for the answer: several
 // transmissions of 1 to 3 ms each, and the scheduling delay of a busy process.
 constexpr Duration kAnswerTime = Milliseconds(50);
@@ -27,20 +24,11 @@
 // some tens of milliseconds later.
 constexpr Duration kMaxExitTime = Milliseconds(200);
 
-// Timeout of a request that names none and whose route is not known yet.
-constexpr Duration kDefaultTimeout = Seconds(8);
-
 bool IsEventStream(const net::HttpResponseHead& head) {
   return head.headers.ValueOr("Content-Type", "")
       .starts_with("text/event-stream");
 }
 
-std::string ToSecondsText(Duration duration) {
-  const auto ms = duration.count() / 1000;
-  const std::string part = std::to_string(1000 + ms % 1000).substr(1);
-  return std::to_string(ms / 1000) + "." + part;
-}
-
 }  // namespace
 
 RelayCall::RelayCall(GatewayState& state, net::HttpExchange& exchange)
@@ -380,130 +368,6 @@
   return Answered{};
 }
 
-void RelayCall::AnswerNoTarget(traffic::NoChoice reason) {
-  if (has_stream_started_) {
-    exchange_.AbortStream();
-    Finish("broken_off", "no target to go on at");
-    return;
-  }
-  if (failure_.has_value()) {
-    AnswerStep(RelayStep::kForwardFailure, "no other target");
-    return;
-  }
-  if (may_have_run_ && !match_.route->may_repeat()) {
-    Fail(net::status::kBadGateway, "no other target");
-    return;
-  }
-  switch (reason) {
-    case traffic::NoChoice::kNone:
-      Refuse(kDefaultRetryAfter, "no target");
-      return;
-    case traffic::NoChoice::kFull:
-      RefuseFull();
-      return;
-    case traffic::NoChoice::kPaused:
-      if (!RefuseIfAllPaused()) {
-        Refuse(RetryAfter(), "all other targets asked for a pause");
-      }
-      return;
-    case traffic::NoChoice::kInCooldown:
-      Refuse(RetryAfter(), "all targets failed lately");
-      return;
-  }
-}
-
-void RelayCall::AnswerStep(RelayStep step, const std::string& reason) {
-  if (has_stream_started_) {
-    exchange_.AbortStream();
-    Finish("broken_off", reason);
-    return;
-  }
-  switch (step) {
-    case RelayStep::kForwardFailure:
-      exchange_.Respond(failure_->head, failure_->body);
-      Finish("target_failed", reason);
-      return;
-    case RelayStep::kRefuse:
-      if (!RefuseIfAllPaused()) {
-        Refuse(RetryAfter(), reason);
-      }
-      return;
-    case RelayStep::kFailTimeout:
-      Fail(net::status::kGatewayTimeout, reason);
-      return;
-    case RelayStep::kFail:
-    case RelayStep::kRetry:
-      Fail(net::status::kBadGateway, reason);
-      return;
-  }
-}
-
-// Callers retry once and accept a delay of up to a third of their time. The
-// reasons for a refusal, such as a group that forms again, a queue that drains
-// or a restart of all processes, last for seconds, so most of that third is
-// used.
-Duration RelayCall::RetryAfter() {
-  constexpr double kMinShare = 0.3;
-  constexpr double kMaxShare = 0.33;
-  const double share =
-      kMinShare + (kMaxShare - kMinShare) * state_.random.Fraction();
-  const Duration wait_timeout = head_.wait_timeout.value_or(kDefaultTimeout);
-  const double left = ToSeconds(
-      std::max(wait_timeout - (SteadyNow() - arrived_), Duration::zero()));
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  return Microseconds(
-      static_cast<std::int64_t>(left * share * kMicrosecondsPerSecond));
-}
-
-void RelayCall::Refuse(Duration retry_after, std::string_view reason) {
-  net::HttpResponseHead head;
-  head.status = net::status::kUnavailable;
-  head.headers.Add("Content-Type", "text/plain");
-  head.headers.Add("Retry-After", ToSecondsText(retry_after));
-  exchange_.Respond(std::move(head), "not run; come back later\n");
-  Finish("refused", reason);
-}
-
-void RelayCall::Fail(int status, std::string_view reason) {
-  net::HttpResponseHead head;
-  head.status = status;
-  head.headers.Add("Content-Type", "text/plain");
-  exchange_.Respond(std::move(head), std::string(reason) + "\n");
-  Finish("failed_" + std::to_string(status), reason);
-}
-
-void RelayCall::Finish(std::string_view outcome, std::string_view reason) {
-  const TimePoint now = SteadyNow();
-  state_.stats.RecordRequest(service_, outcome, TimesAt(now));
-  trace_.End(head_.request_id, std::string(outcome));
-  state_.log.Info(
-      "Request.",
-      {{"id", head_.request_id},
-       {"outcome", outcome},
-       {"why", reason},
-       {"route", match_.route == nullptr ? "" : match_.route->name},
-       {"service", service_.value()},
-       {"content", fingerprint_.ToText()},
-       {"sends", sends_},
-       {"trail", send_log_},
-       {"version", routes_ == nullptr ? 0 : routes_->configuration().version},
-       {"first_ms", first_event_at_ == TimePoint{}
-                        ? -1
-                        : (first_event_at_ - arrived_).count() / 1000},
-       {"pause_ms", max_pause_.count() / 1000},
-       {"ms", (now - arrived_).count() / 1000}});
-}
-
-RequestTimes RelayCall::TimesAt(TimePoint now) const {
-  RequestTimes times;
-  times.total = now - arrived_;
-  if (first_event_at_ != TimePoint{}) {
-    times.first_event = first_event_at_ - arrived_;
-    times.max_pause = max_pause_;
-  }
-  return times;
-}
-
 bool RelayCall::MayRetry() {
   return state_.BudgetOf(service_).TryRetry(Workspace(), SteadyNow());
 }
@@ -533,62 +397,6 @@
   cancellation_->Cancel();
 }
 
-void RelayCall::ReviewTarget(TimePoint now) {
-  if (!caller_disconnected_ && !loss_.has_value()) {
-    loss_ = FindLoss(now);
-    if (loss_.has_value()) {
-      CancelSend();
-      return;
-    }
-  }
-  const bool may_move_on =
-      match_.route->may_repeat() && sends_ < match_.route->attempts;
-  if (!may_move_on || caller_disconnected_ || has_abandoned_target_) {
-    return;
-  }
-  if (IsTargetSilent(now)) {
-    AbandonTarget();
-    return;
-  }
-  // A stream that a slow target still serves must not end because the retry
-  // budget is used up.
-  if (state_.targets.ShouldMoveRequests(current_target_, tried_targets_, now) &&
-      MayRetry()) {
-    is_retry_charged_ = true;
-    AbandonTarget();
-  }
-}
-
-void RelayCall::AbandonTarget() {
-  has_abandoned_target_ = true;
-  CancelSend();
-}
-
-bool RelayCall::IsTargetSilent(TimePoint now) const {
-  return state_.targets.IsSuspect(current_target_, now) ||
-         IsConnectionSilent(now);
-}
-
-// The target may be healthy and only this connection dead: no more data arrives
-// and neither end is notified. Callers give up after 2 s without an event;
-// moving to another target before that saves the stream.
-bool RelayCall::IsConnectionSilent(TimePoint now) const {
-  constexpr Duration kMaxSilence = Milliseconds(1600);
-  return has_stream_started_ && now - last_event_at_ > kMaxSilence &&
-         state_.targets.HasProgressed(service_, last_event_at_, now);
-}
-
-std::optional<RelayCall::LossReport> RelayCall::FindLoss(TimePoint now) const {
-  const TimePoint waits_since = has_stream_started_ ? last_event_at_ : arrived_;
-  const bool is_reported = state_.targets.IsUnresponsive(current_target_);
-  const bool is_unresponsive =
-      is_reported || state_.prober.IsUnresponsive(current_target_, now);
-  if (!traffic::IsTargetLost({now - waits_since, is_unresponsive})) {
-    return std::nullopt;
-  }
-  return is_reported ? LossReport::kControlNodes : LossReport::kOwnProbes;
-}
-
 void RelayCall::FinishSend(const traffic::Choice& choice,
                            TargetOutcome outcome) {
   trace_.EndSend(choice.target.value(),
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -76,28 +76,40 @@
                            const net::HttpResponseHead& head);
   SendOutcome RelayWholeAnswer(const traffic::Choice& choice,
                                net::HttpClientStream& stream);
-  void AnswerNoTarget(traffic::NoChoice reason);
-  void AnswerStep(traffic::RelayStep step, const std::string& reason);
-  // The delay after which a refused caller is asked to retry.
-  Duration RetryAfter();
-  void Refuse(Duration retry_after, std::string_view reason);
-  void Fail(int status, std::string_view reason);
-  void Finish(std::string_view outcome, std::string_view reason);
   bool MayRetry();
   Duration time_left() const;
   // How long to wait for the next bytes of a target.
   Duration wait_timeout() const;
   void OnCallerDisconnected();
   void CancelSend();
+  // Reports the outcome of a send to the trace and to the target pool.
+  void FinishSend(const traffic::Choice& choice,
+                  traffic::TargetOutcome outcome);
+
+  // relay_call_review.cc
   bool IsTargetSilent(TimePoint now) const;
   bool IsConnectionSilent(TimePoint now) const;
   // Whether the target is unresponsive, so that a cancellation would not reach
   // it, and the caller is about to give up. Returns who found the target so.
   std::optional<LossReport> FindLoss(TimePoint now) const;
   void AbandonTarget();
-  // Reports the outcome of a send to the trace and to the target pool.
-  void FinishSend(const traffic::Choice& choice,
-                  traffic::TargetOutcome outcome);
+
+  // relay_call_answers.cc
+  void AnswerNoTarget(traffic::NoChoice reason);
+  void AnswerStep(traffic::RelayStep step, const std::string& reason);
+  // Refuses a request because all targets are full or have reached their
+  // limits.
+  void RefuseFull();
+  // If all targets have asked for a pause, refuses the request until the first
+  // pause has ended, and returns true.
+  bool RefuseIfAllPaused();
+  // The delay after which a refused caller is asked to retry.
+  Duration RetryAfter();
+  // The same if some targets are full and the others, if any, paused.
+  Duration RetryAfterFull();
+  void Refuse(Duration retry_after, std::string_view reason);
+  void Fail(int status, std::string_view reason);
+  void Finish(std::string_view outcome, std::string_view reason);
   RequestTimes TimesAt(TimePoint now) const;
 
   // relay_call_target_state.cc
@@ -113,15 +125,6 @@
   // Reads whether the target is about to terminate.
   void UpdateLeaving(const traffic::Choice& choice,
                      const net::HttpResponseHead& head);
-  // Refuses a request because all targets are full or have reached their
-  // limits.
-  void RefuseFull();
-  // The delay after which a caller is asked to retry if some targets are full
-  // and the others, if any, paused.
-  Duration RetryAfterFull();
-  // If all targets have asked for a pause, refuses the request until the first
-  // pause has ended, and returns true.
-  bool RefuseIfAllPaused();
 
   // relay_call_leave.cc
   // Waits until the quarantine lets the request run. Answers the caller and
--- /dev/null
+++ b/src/plugins/gateway/relay_call_review.cc
@@ -0,0 +1,66 @@
+// The part of RelayCall that reviews the target of a send in progress.
+
+#include <optional>
+
+#include "libs/traffic/relay_rules.h"
+#include "plugins/gateway/relay_call.h"
+
+namespace bilberryspool::gateway {
+
+void RelayCall::ReviewTarget(TimePoint now) {
+  if (!caller_disconnected_ && !loss_.has_value()) {
+    loss_ = FindLoss(now);
+    if (loss_.has_value()) {
+      CancelSend();
+      return;
+    }
+  }
+  const bool may_move_on =
+      match_.route->may_repeat() && sends_ < match_.route->attempts;
+  if (!may_move_on || caller_disconnected_ || has_abandoned_target_) {
+    return;
+  }
+  if (IsTargetSilent(now)) {
+    AbandonTarget();
+    return;
+  }
+  // A stream that a slow target still serves must not end because the retry
+  // budget is used up.
+  if (state_.targets.ShouldMoveRequests(current_target_, tried_targets_, now) &&
+      MayRetry()) {
+    is_retry_charged_ = true;
+    AbandonTarget();
+  }
+}
+
+void RelayCall::AbandonTarget() {
+  has_abandoned_target_ = true;
+  CancelSend();
+}
+
+bool RelayCall::IsTargetSilent(TimePoint now) const {
+  return state_.targets.IsSuspect(current_target_, now) ||
+         IsConnectionSilent(now);
+}
+
+// The target may be healthy and only this connection dead: no more data arrives
+// and neither end is notified. Callers give up after 2 s without an event;
+// moving to another target before that saves the stream.
+bool RelayCall::IsConnectionSilent(TimePoint now) const {
+  constexpr Duration kMaxSilence = Milliseconds(1600);
+  return has_stream_started_ && now - last_event_at_ > kMaxSilence &&
+         state_.targets.HasProgressed(service_, last_event_at_, now);
+}
+
+std::optional<RelayCall::LossReport> RelayCall::FindLoss(TimePoint now) const {
+  const TimePoint waits_since = has_stream_started_ ? last_event_at_ : arrived_;
+  const bool is_reported = state_.targets.IsUnresponsive(current_target_);
+  const bool is_unresponsive =
+      is_reported || state_.prober.IsUnresponsive(current_target_, now);
+  if (!traffic::IsTargetLost({now - waits_since, is_unresponsive})) {
+    return std::nullopt;
+  }
+  return is_reported ? LossReport::kControlNodes : LossReport::kOwnProbes;
+}
+
+}  // namespace bilberryspool::gateway
--- a/src/plugins/gateway/relay_call_target_state.cc
+++ b/src/plugins/gateway/relay_call_target_state.cc
@@ -17,8 +17,6 @@
 
 namespace {
 
-// Lower bound of the delay after which a caller is asked to retry.
-constexpr Duration kMinRetryAfter = Milliseconds(100);
 constexpr std::string_view kRetryAfter = "Retry-After";
 
 }  // namespace
@@ -125,34 +123,4 @@
                    {"id", head_.request_id}});
 }
 
-void RelayCall::RefuseFull() {
-  const auto wait = state_.targets.TimeUntilWithinLimit(service_, SteadyNow());
-  if (!wait.has_value()) {
-    Refuse(RetryAfterFull(), "all targets full");
-    return;
-  }
-  Refuse(std::clamp(*wait, kMinRetryAfter, RetryAfter()),
-         "all targets have as much as their limits allow");
-}
-
-Duration RelayCall::RetryAfterFull() {
-  const auto paused = state_.targets.PausedTargetsOf(service_, SteadyNow());
-  const Duration retry_after = RetryAfter();
-  if (paused.count == 0) {
-    return retry_after;
-  }
-  return std::min(retry_after, traffic::RetryAfterPause(paused.first_end_after,
-                                                        state_.random));
-}
-
-bool RelayCall::RefuseIfAllPaused() {
-  const auto paused = state_.targets.PausedTargetsOf(service_, SteadyNow());
-  if (paused.count == 0 || !paused.are_all) {
-    return false;
-  }
-  Refuse(traffic::RetryAfterPause(paused.first_end_after, state_.random),
-         "all targets asked for a pause");
-  return true;
-}
-
 }  // namespace bilberryspool::gateway
--- a/src/plugins/gateway/request_head.h
+++ b/src/plugins/gateway/request_head.h
@@ -13,6 +13,9 @@
 
 namespace bilberryspool::gateway {
 
+// Timeout of a request that names none and whose route is not known yet.
+inline constexpr Duration kDefaultTimeout = Seconds(8);
+
 struct RequestHead {
   std::string request_id;
   std::string host;  // without a port
