--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -343,7 +343,7 @@
   TargetPool pool = MakePool();
   for (int i = 0; i < 50; ++i) {
     const std::string name = "t" + std::to_string(i);
-    pool.Update("c1", true, {Record(name)}, kStart + Seconds(10 * i));
+    pool.Update("c1", true, {Record(name)}, kStart + i * Seconds(10));
     CHECK(pool.OnLeaving(RunOf(name)));
     CHECK(pool.CountsOf(kService).leaving <= 13);
   }
