A control node that can be reached again takes part within half a second

Cause: a control node that comes back from a network partition was polled once a second, and its response counted only when all nodes were polled the next time. Until then one other node sent the orders to arm to all 16 ranks, 17 to 28 ms in which a freeze of the last rank to act stalls the group.

Why this works: a node that failed is polled again after 0.25 s, and the leader uses it at the tick after its response. Nodes that respond are polled as often as before.

--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -54,13 +54,16 @@
 void GroupManager::Run() {
   while (true) {
     loop_.SleepFor(kTickInterval);
+    const Duration interval =
+        HasIncompleteGroup() ? kIncompleteCollectInterval : kCollectInterval;
     const bool is_due = SteadyNow() >= collect_due_;
     if (is_due) {
-      collect_due_ =
-          SteadyNow() + (HasIncompleteGroup() ? kIncompleteCollectInterval
-                                              : kCollectInterval);
-      PollPeers();
+      collect_due_ = SteadyNow() + interval;
     }
+    PollPeers(interval);
+    std::vector<net::Endpoint> helpers = peers_.Responding(SteadyNow());
+    const bool has_new_helpers = helpers != helpers_;
+    helpers_ = std::move(helpers);
     EraseFinishedTasks();
     const bool leads = node_.replica().is_leader();
     const Term term =
@@ -83,8 +86,8 @@
     }
     std::map<std::string, double> slow;
     for (auto& [group, task] : tasks_) {
-      if (is_due) {
-        task->SetHelpers(Helpers());
+      if (is_due || has_new_helpers) {
+        task->SetHelpers(helpers_);
       }
       task->Tick();
       task->AddSlowTargets(slow);
@@ -157,32 +160,26 @@
   return false;
 }
 
-std::vector<net::Endpoint> GroupManager::Helpers() const {
-  // Each node is polled once a second and may take half a second to respond.
-  constexpr Duration kMaxResponseAge = Milliseconds(1600);
-  const TimePoint now = SteadyNow();
-  std::vector<net::Endpoint> helpers;
-  for (const auto& [node, peer_state] : peer_states_) {
-    if (now - peer_state.heard_at < kMaxResponseAge) {
-      helpers.push_back(node);
-    }
-  }
-  return helpers;
-}
-
-void GroupManager::PollPeers() {
+void GroupManager::PollPeers(Duration interval) {
   std::set<net::Endpoint> nodes = std::exchange(reported_nodes_, {});
   for (const net::Endpoint& node : node_.FindNodes()) {
     nodes.insert(node);
   }
   for (const net::Endpoint& node : nodes) {
-    if (node.ToString() != node_.replica().self().value()) {
-      loop_.Spawn([this, node] { PollPeer(node); });
+    if (node.ToString() != node_.replica().self().value() &&
+        peers_.StartPoll(node, interval, SteadyNow())) {
+      loop_.Spawn([this, node] {
+        if (PollPeer(node)) {
+          peers_.OnResponse(node, SteadyNow());
+        } else {
+          peers_.OnFailure(node);
+        }
+      });
     }
   }
 }
 
-void GroupManager::PollPeer(const net::Endpoint& peer) {
+bool GroupManager::PollPeer(const net::Endpoint& peer) {
   const PeerState peer_state = peer_states_[peer];
   traffic::WatchQuery query;
   query.control_address = node_.replica().self().value();
@@ -196,7 +193,7 @@
   const auto* json = std::get_if<boost::json::value>(&result);
   if (json == nullptr) {
     links_.DropIdle(peer);
-    return;
+    return false;
   }
   const auto answer = traffic::WatchAnswerFromJson(*json);
   const auto targets = answer.has_value()
@@ -205,9 +202,9 @@
   if (!targets.has_value()) {
     log_.Warn("Failed to parse a control node's answer.",
               {{"node", peer.ToString()}});
-    return;
+    return false;
   }
-  peer_states_[peer] = {answer->boot, answer->revision, SteadyNow(),
+  peer_states_[peer] = {answer->boot, answer->revision,
                         answer->quarantine_revision};
   if (answer->quarantine.has_value()) {
     node_.quarantine().Adopt(*answer->quarantine, SteadyNow());
@@ -227,6 +224,7 @@
       peer_targets_.Announce(record.announcement, SteadyNow());
     }
   }
+  return true;
 }
 
 const traffic::EngineModel* GroupManager::EngineOf(const ServiceId& service) {
@@ -297,7 +295,7 @@
     task = std::make_unique<GroupTask>(loop_, calls_, poller_, multicaster_,
                                        protocol_, place.group, *engine,
                                        place.size, term_, first);
-    task->SetHelpers(Helpers());
+    task->SetHelpers(helpers_);
     task->SetMayAct([this] { return node_.replica().is_leader(); });
     log_.Info("Started managing a group.", {{"group", place.group.value()},
                                             {"ranks", place.size},
--- a/src/plugins/control_node/group_manager.h
+++ b/src/plugins/control_node/group_manager.h
@@ -20,6 +20,7 @@
 #include "plugins/control_node/control_node.h"
 #include "plugins/control_node/group_task.h"
 #include "plugins/control_node/leadership_term.h"
+#include "plugins/control_node/peer_contacts.h"
 #include "plugins/sidecar/engine_protocol.h"
 #include "plugins/sidecar/engine_relay.h"
 
@@ -47,7 +48,6 @@
   struct PeerState {
     std::uint64_t boot = 0;
     std::uint64_t revision = 0;
-    TimePoint heard_at;
     std::uint64_t quarantine_revision = 0;
   };
 
@@ -61,12 +61,12 @@
   void UpdateTask(const traffic::TargetAnnouncement& announcement);
   // Targets announce themselves to any control node, and the next leader needs
   // all of them immediately, so each node reads the targets of the others.
-  void PollPeers();
-  void PollPeer(const net::Endpoint& peer);
+  // `interval` is that of the nodes that respond.
+  void PollPeers(Duration interval);
+  // Returns whether the node responded.
+  bool PollPeer(const net::Endpoint& peer);
   const traffic::EngineModel* EngineOf(const ServiceId& service);
   bool KnowsEngine(const net::Endpoint& engine) const;
-  // Returns the other control nodes that responded recently.
-  std::vector<net::Endpoint> Helpers() const;
 
   net::NetworkLoop& loop_;
   links::LinkClient& links_;
@@ -83,6 +83,9 @@
   // Tasks of earlier terms whose fibers may still run.
   std::vector<std::unique_ptr<GroupTask>> retired_tasks_;
   traffic::TargetRegistry peer_targets_;
+  PeerContacts peers_;
+  // The other control nodes that responded at the last tick.
+  std::vector<net::Endpoint> helpers_;
   std::map<net::Endpoint, PeerState> peer_states_;
   // Nodes that other nodes reported, to be polled once.
   std::set<net::Endpoint> reported_nodes_;
