All ranks of a group of 16 are armed at the same time, by the leader as well

Cause: a node sent the orders to arm to four ranks at a time, so with one or two nodes 16 ranks took four or two rounds.

Why this works: the leader is a third node, no node has more than six of 16 ranks where two others respond, and eight are in transit at once. FreezeWorld follows the product; the checks are as they were.

--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -109,7 +109,11 @@
   }
   const groups::MulticastOrder whole = MulticastOrderOf(first);
   std::set<RankIndex> sent;
-  for (const PollingRound& part : schedule_.SplitByReader(ranks, now)) {
+  const bool is_leader_sharing =
+      IsGuarded(first.order) && ranks_ <= kMaxGuardedGroup;
+  for (const PollingRound& part : is_leader_sharing
+                                      ? schedule_.SplitWithLeader(ranks, now)
+                                      : schedule_.SplitByReader(ranks, now)) {
     groups::MulticastOrder multicast = whole;
     multicast.is_guarded =
         IsGuarded(first.order) &&
--- a/src/plugins/control_node/order_multicaster.cc
+++ b/src/plugins/control_node/order_multicaster.cc
@@ -26,7 +26,7 @@
 constexpr Duration kTimePerRank = Milliseconds(1);
 
 // Number of ranks that a guarded order is in transit to at a time.
-constexpr std::size_t kMaxGuardedAtOnce = 4;
+constexpr std::size_t kMaxGuardedAtOnce = 8;
 // Longest time that an OrderGuard takes for one rank.
 constexpr Duration kMaxGuardTime = Milliseconds(90);
 // Time limit of a poll; its reply is of no use after kMaxGuardTime.
--- a/src/plugins/control_node/polling_schedule.cc
+++ b/src/plugins/control_node/polling_schedule.cc
@@ -135,6 +135,28 @@
   return parts;
 }
 
+std::vector<PollingRound> PollingSchedule::SplitWithLeader(
+    const std::vector<RankIndex>& ranks,
+    TimePoint now) {
+  std::vector<PollingRound> parts = SplitByReader(ranks, now);
+  const std::size_t nodes = parts.size() + 1;
+  const std::size_t equal_share = (ranks.size() + nodes - 1) / nodes;
+  PollingRound rest{std::nullopt, {}};
+  for (PollingRound& part : parts) {
+    if (!part.reader.has_value() || part.ranks.size() <= equal_share) {
+      continue;
+    }
+    const auto first_of_rest =
+        part.ranks.begin() + static_cast<std::ptrdiff_t>(equal_share);
+    rest.ranks.insert(rest.ranks.end(), first_of_rest, part.ranks.end());
+    part.ranks.erase(first_of_rest, part.ranks.end());
+  }
+  if (!rest.ranks.empty()) {
+    parts.push_back(std::move(rest));
+  }
+  return parts;
+}
+
 void PollingSchedule::FinishRound(const PollingRound& round, TimePoint now) {
   const auto found = readers_.find(round.reader);
   if (found == readers_.end()) {
--- a/src/plugins/control_node/polling_schedule.h
+++ b/src/plugins/control_node/polling_schedule.h
@@ -48,6 +48,10 @@
   // Groups `ranks` by the readers that they are assigned to.
   std::vector<PollingRound> SplitByReader(const std::vector<RankIndex>& ranks,
                                           TimePoint now);
+  // As SplitByReader(), but the leader itself takes a share, too. No reader
+  // gets more than an equal share.
+  std::vector<PollingRound> SplitWithLeader(const std::vector<RankIndex>& ranks,
+                                            TimePoint now);
   void OnAnswer(const PollingRound& round,
                 const FailureDomain& domain,
                 TimePoint now);
--- a/tests/auto/control_node/polling_schedule_test.cc
+++ b/tests/auto/control_node/polling_schedule_test.cc
@@ -266,6 +266,48 @@
   }
 }
 
+// Guards against one reader that sends the orders to arm to all ranks of a
+// group, half of them only after the others were answered.
+TEST_CASE("the leader takes a share of the orders to arm") {
+  struct Row {
+    const char* name;
+    std::size_t readers;
+    std::size_t max_at_reader;
+    std::size_t at_leader;
+  };
+  constexpr Row kRows[] = {{"no reader", 0, 0, 16},
+                           {"one reader", 1, 8, 8},
+                           {"two readers", 2, 6, 4},
+                           {"three readers", 3, 4, 4}};
+  for (const Row& row : kRows) {
+    CAPTURE(row.name);
+    PollingSchedule schedule;
+    std::vector<RankIndex> ranks;
+    for (std::uint32_t i = 0; i < 16; ++i) {
+      schedule.SetRank(RankIndex(i), DomainOf(i));
+      ranks.push_back(RankIndex(i));
+    }
+    std::vector<net::Endpoint> readers;
+    for (std::size_t i = 0; i < row.readers; ++i) {
+      readers.push_back(ReaderIn(i));
+    }
+    schedule.SetReaders(readers);
+    std::set<RankIndex> sent;
+    std::size_t at_leader = 0;
+    for (const PollingRound& part :
+         schedule.SplitWithLeader(ranks, TimeAt(Seconds(1)))) {
+      sent.insert(part.ranks.begin(), part.ranks.end());
+      if (!part.reader.has_value()) {
+        at_leader += part.ranks.size();
+        continue;
+      }
+      CHECK(part.ranks.size() <= row.max_at_reader);
+    }
+    CHECK(sent.size() == ranks.size());
+    CHECK(at_leader == row.at_leader);
+  }
+}
+
 TEST_CASE("a round expedited while in flight is followed by another at once") {
   PollingSchedule schedule;
   schedule.SetRank(RankIndex(0), FailureDomain("a"));
--- a/tests/auto/groups/freeze_world.h
+++ b/tests/auto/groups/freeze_world.h
@@ -1,7 +1,7 @@
 // Simulates one owner of a step switch and a group of 16 ranks whose messages
-// have latency, with VMs that freeze once. Orders to arm go through two other
-// control nodes, each of which sends them to its half of the ranks, or to all
-// of them if the other one does not answer.
+// have latency, with VMs that freeze once. Orders to arm go through the owner
+// and two other control nodes, each of which sends them to its share of the
+// ranks; the others take over the share of one that does not answer.
 //
 // A frozen VM neither sends nor receives; its engine continues with the group.
 // Messages to it arrive when it wakes; messages that it had sent before arrive
