--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -26,10 +26,8 @@
 constexpr Duration kMapTransit = Milliseconds(80);
 constexpr Duration kOrderTimePerRank = Milliseconds(1);
 
-// An engine's answer to its sidecar usually takes 0.3 to 3 ms, but 7 to 20 ms
-// in one of 25 cases. The sidecar repeats an order to arm after this time,
-// because the group is stalled for the whole freeze of a VM that freezes before
-// its answer.
+// When a sidecar repeats an order to arm. Engines answer most orders within
+// 3 ms; a VM that freezes before its answer stalls the group.
 constexpr Duration kArmRepeatAfter = Milliseconds(2);
 
 // Groups of up to this size are always guarded.
--- a/tests/auto/control_node/peer_contacts_test.cc
+++ b/tests/auto/control_node/peer_contacts_test.cc
@@ -1,8 +1,5 @@
 // Guards against a control node that is not used for a second and a half after
-// it can be reached again: it was polled once a second, and its response only
-// counted when all nodes were polled the next time. One other node sent the
-// orders to arm to all 16 ranks meanwhile, which took 17 to 28 ms instead of 6
-// to 9, and a VM that froze in that time stalled its group.
+// it can be reached again.
 
 #include "plugins/control_node/peer_contacts.h"
 
@@ -17,11 +14,9 @@
 constexpr Duration kTick = Milliseconds(25);
 const net::Endpoint kNode{"10.0.0.1", 7600};
 
-// Polls a node that can't be reached until `healed_at`; returns when it counts
-// as responding.
 struct Row {
   const char* name;
-  Duration failure_takes;  // zero: refused at once
+  Duration failure_takes;  // until a poll of the unreachable node fails
 };
 constexpr Row kRows[] = {{"refused", Duration::zero()},
                          {"timed out", Milliseconds(500)}};
--- a/tests/auto/control_node/polling_schedule_test.cc
+++ b/tests/auto/control_node/polling_schedule_test.cc
@@ -266,8 +266,7 @@
   }
 }
 
-// Guards against one reader that sends the orders to arm to all ranks of a
-// group, half of them only after the others were answered.
+// Guards against one reader that sends the orders to arm to all ranks in turn.
 TEST_CASE("the leader takes a share of the orders to arm") {
   struct Row {
     const char* name;
--- a/tests/auto/sidecar/engine_relay_test.cc
+++ b/tests/auto/sidecar/engine_relay_test.cc
@@ -130,8 +130,7 @@
   });
 }
 
-// Guards against a group that waits for the one slow answer of an engine in 25:
-// a VM that freezes meanwhile stalls the group for as long as it is frozen.
+// Guards against a group that waits for one slow answer of an engine.
 TEST_CASE("a request that may be repeated does not wait for a slow answer") {
   struct Row {
     const char* name;
