Test: orders to arm that are carried out twice cause no step with two maps

Cause: sidecars now send an order to arm once more, so a copy that is carried out after the answer is common; the random worlds lost and delayed orders, and doubled none. Draws of the other rows are as before.

--- a/tests/auto/groups/step_switch_test.cc
+++ b/tests/auto/groups/step_switch_test.cc
@@ -40,6 +40,8 @@
   double freeze = 0.0;
   // That a rank on a frozen VM is found silent and is not sent an order to arm.
   double not_sent = 0.0;
+  // That a copy of an answered order to arm is carried out later.
+  double copied = 0.0;
 };
 
 // Runs owners of the switch against the group, 10 ms per iteration.
@@ -158,6 +160,11 @@
       return;
     }
     const OrderAnswer answer = group_.Execute(order);
+    if (chances_.copied > 0.0 && std::holds_alternative<ArmMap>(order.order) &&
+        random_.Chance(chances_.copied)) {
+      late_.push_back(
+          {now_ + random_.Between(Milliseconds(10), Seconds(12)), order});
+    }
     owner_->OnAnswer(
         order,
         random_.Chance(chances_.lost) ? OrderAnswer::kUnanswered : answer,
@@ -204,6 +211,10 @@
       {"VMs freeze and are found silent", 0.2, 0.0, 0.0, 0.0, 0.002, 0.7},
       {"VMs freeze and are found silent, owners change, orders are late", 0.1,
        0.2, 0.005, 0.0, 0.002, 0.7},
+      {"orders to arm are carried out twice", 0.0, 0.0, 0.0, 0.0, 0.0, 0.0,
+       0.5},
+      {"the same, VMs freeze, owners change, orders are late", 0.1, 0.2, 0.005,
+       0.0, 0.002, 0.7, 0.5},
   };
   for (const FaultChances& chances : cases) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
