Review: an acknowledged config is lost with one disk after three replacements

The third successor of a machine of the core is never admitted: the vote of the machine that is gone goes to the first successor again and again.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -65,15 +65,17 @@
 
 
 class Deployment:
-    def __init__(self, gateways=3, controls=3, sidecars=0):
+    def __init__(self, gateways=3, controls=3, sidecars=0, spare_controls=0):
         self.program = find_program()
         self.folder = tempfile.mkdtemp(prefix="bilberryspool-review-")
         net = random.randrange(10, 250)
         self.gateway_ips = [f"127.{net}.1.{i + 1}" for i in range(gateways)]
-        self.control_ips = [f"127.{net}.2.{i + 1}" for i in range(controls)]
+        # Those that may serve `control` in the course of the case, and the operator's list.
+        self.all_control_ips = [f"127.{net}.2.{i + 1}" for i in range(controls + spare_controls)]
+        self.control_ips = self.all_control_ips[:controls]
         self.sidecar_ips = [f"127.{net}.3.{i + 1}" for i in range(sidecars)]
         self.runner_net = f"127.{net}.4."
-        self.port = free_ports(self.gateway_ips + self.control_ips + self.sidecar_ips +
+        self.port = free_ports(self.gateway_ips + self.all_control_ips + self.sidecar_ips +
                                [self.runner_net + "1"], 6)
         self.front, self.ready, self.control = self.port + 2, self.port + 3, self.port + 4
         self.seeds = [f"{ip}:{self.control}" for ip in self.control_ips[:3]]
@@ -95,7 +97,7 @@
         }
 
     def start(self, role, index, app=""):
-        ips = {"gateway": self.gateway_ips, "control": self.control_ips,
+        ips = {"gateway": self.gateway_ips, "control": self.all_control_ips,
                "sidecar": self.sidecar_ips}[role]
         with open(os.path.join(ROOT, "platform", role + ".toml.in")) as template:
             text = render(template.read(), self.fields(role, index, ips[index], app))
