--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,111 +1,119 @@
-"""BUDGET: repeats in one window against ratio x requests + slack."""
+"""A control process that stands still while ranks are armed never answers again."""
 
 import asyncio
-import bisect
 import os
 import random
+import shutil
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 import deployment as d  # noqa: E402
+import engines  # noqa: E402
 
-GATEWAYS = 9          # as on the sheet of qlb-amman
-PER_S = 16.0          # requests of clients, all of one safe route
-QUIET_S = 20.0        # traffic before the answers are lost
-LOST_S = 12.0         # twice the longest answer_lost of the site files (6 s)
-LOST_SHARE = 0.8      # twice the largest x of the site files (0.4)
-AFTER_S = 12.0
-WORK_S = 0.06
+RANKS = 16
+FROZEN_S = 1.0
+RECOVERY_S = 12.0
+READ_S = 6.0
 
 
 async def main(holder, record, trouble):
-    deployment = d.Deployment(gateways=GATEWAYS)
+    deployment = d.Deployment(gateways=2, sidecars=RANKS)
     holder.append(deployment)
     deployment.start_all()
-    arrivals, requests, sent_ids = [], [], {}
-    losing = False
-
-    async def serve(runner, request, writer):
-        attempt = request.headers["bilberryspool-attempt-id"]
-        arrivals.append((record.now(), attempt))
-        await asyncio.sleep(WORK_S)
-        if losing and random.random() < LOST_SHARE:
-            record.add("run", f"{attempt} at {runner.id}, its answer is lost by a reset")
-            d.reset(writer)
-            return
-        record.add("run", f"{attempt} at {runner.id}, answered")
-        runner.answer(request, writer, b"plant meter reading")
-
-    runners = [d.Runner(deployment, i, "dispatch", 6, serve) for i in range(3)]
-    for runner in runners:
-        await runner.start()
-    await deployment.put_config(d.config(
-        3, [d.route("meter-read", "/meter/", "safe", "dispatch", attempts=2)], ["dispatch"]))
+    group = engines.Group(deployment, record, RANKS)
+    for rank in group.ranks:
+        deployment.start("sidecar", rank.index, f"{rank.ip}:{rank.port}")
+    await group.start()
+    await deployment.put_config(engines.config(3))
     await deployment.wait_ready()
-    await asyncio.sleep(4)
+    deployment.bootstrap = False
+    callers = engines.Callers(deployment, record, 60)
+    leaders = engines.Leaders(deployment)
 
-    async def attempt_once(number, retry):
-        attempt = "%016x" % random.getrandbits(64)
-        requests.append(record.now())
-        record.add("sent", f"{attempt} (request {number}{', sent again' if retry else ''})")
-        try:
-            answer = await d.call(
-                random.choice(deployment.gateway_ips), deployment.front, "GET", "/meter/2f",
-                {"Host": "h.example", "Api-Key": "key-of-works", "Bilberryspool-Attempt-Id": attempt,
-                 "Bilberryspool-Deadline-Ms": "4000"}, b"", timeout=4.0)
-            record.add("answered", f"{attempt} {answer.status}")
-            return answer
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, d.Broken) as error:
-            record.add("answered", f"{attempt} nothing: {error!r}")
-            return None
+    async def changed(limit_s):
+        before, end = group.ranks[0].map, record.now() + limit_s
+        while group.ranks[0].map == before:
+            if record.now() > end:
+                raise d.CannotRun("the map does not change")
+            group.hot = (group.hot + 1) % RANKS if random.random() < 0.01 else group.hot
+            await asyncio.sleep(0.01)
 
-    # Clients repeat a safe request once after any failure, as PROTOCOL.md says.
-    async def client(number):
-        answer = await attempt_once(number, False)
-        if answer is not None and answer.status == 200:
-            return
-        if answer is not None and answer.status in (408, 421, 429, 503):
-            await asyncio.sleep(min(float(answer.headers.get("retry-after", "0")), 1.3))
-        await attempt_once(number, True)
+    await asyncio.sleep(2)
+    await changed(20)
+    record.add("runners", "the first change of the map is over")
+    dropped = asyncio.Event()
 
-    begun, number, clients = record.now(), 0, []
-    end = QUIET_S + LOST_S + AFTER_S
-    while record.now() - begun < end:
-        losing = trouble and QUIET_S <= record.now() - begun < QUIET_S + LOST_S
-        number += 1
-        clients.append(asyncio.create_task(client(number)))
-        await asyncio.sleep(max(0.0, begun + number / PER_S - record.now()))
-    await asyncio.gather(*clients)
+    # Workers leave orders unanswered and carry them out late.
+    def policy(rank, order):
+        if order["op"] != "arm" or rank.index < RANKS // 2:
+            return None
+        record.add("runners", f"rank {rank.index} leaves {order['op']} unanswered")
+        dropped.set()
+        return 6.0
 
-    # The rule: any span of budget_window_s. The requests are those of that window, the one
-    # before it or the one half a window before it, whichever has most.
-    window = float(d.BOUNDS["budget_window_s"])
-    seen, repeats = set(), []
-    for at, attempt in arrivals:
-        if attempt in seen:
-            repeats.append(at)
-        seen.add(attempt)
-    requests.sort()
+    frozen = None
+    if trouble:
+        group.policy = policy
+        group.hot = (group.hot + 5) % RANKS
+        for _ in range(200):
+            if dropped.is_set():
+                break
+            await asyncio.sleep(0.1)
+            if random.random() < 0.05:
+                group.hot = (group.hot + 3) % RANKS
+        if not dropped.is_set():
+            raise d.CannotRun("no rank was armed")
+        await asyncio.sleep(float(os.environ.get("AFTER_S", "0.1")))
+        term, frozen = leaders.now()
+        record.add("platform", f"{frozen}, which leads, freezes")
+        deployment.signal(frozen, signal.SIGSTOP)
+        await asyncio.sleep(FROZEN_S)
+        record.add("platform", f"{frozen} wakes again")
+        deployment.signal(frozen, signal.SIGCONT)
+        await asyncio.sleep(1)
+        group.policy = lambda rank, order: None
+    await asyncio.sleep(10)
 
-    def count(times, start):
-        return bisect.bisect_right(times, start + window) - bisect.bisect_left(times, start)
+    async def read(ip):
+        try:
+            answer = await d.call(ip, deployment.control, "GET", "/config", {}, b"", timeout=1.0)
+            found = (str(answer.status) if answer.status != 200 else
+                     "version %s" % d.json.loads(answer.body)["version"])
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, d.Broken) as error:
+            found = type(error).__name__
+        record.add("operator", f"GET /config at {ip}: {found}")
+        return found
 
-    worst = (-1e9, 0, 0, 0.0, 0.0)
-    for start in repeats:
-        most = max(count(requests, start - back) for back in (0.0, window / 2, window))
-        allowed = d.BOUNDS["retry_budget_ratio"] * most + d.BOUNDS["budget_slack"]
-        worst = max(worst, (count(repeats, start) - allowed, count(repeats, start), most, allowed,
-                            start))
-    over, made, most, allowed, start = worst
-    text = (f"{len(requests)} requests, {len(arrivals)} arrivals, {len(repeats)} repeats in all; "
-            f"worst window from {start:.1f} s: {made} repeats, allowed {allowed:.1f} "
-            f"(0.2 x {most} + 94)")
-    if not repeats:
-        text = f"{len(requests)} requests, no repeats"
-    if len(seen) < 200:
-        raise d.CannotRun("too few requests arrived: " + text)
-    return text, over > 0
+    before = {ip: await read(ip) for ip in deployment.control_ips}
+    await deployment.put_config(engines.config(5))
+    record.add("operator", "PUT /config version 5: acknowledged")
+    if trouble:
+        others = [f"control-{i + 1}" for i in range(3) if f"control-{i + 1}" != frozen]
+        victim = others[0]
+        record.add("platform", f"{victim} loses its disk and is back 0.5 s later")
+        deployment.kill(victim)
+        index = int(victim[-1]) - 1
+        shutil.rmtree(os.path.join(deployment.folder, f"data-{index + 1}"), ignore_errors=True)
+        await asyncio.sleep(0.5)
+        deployment.start("control", index)
+    await asyncio.sleep(RECOVERY_S)
+    found, end = [], record.now() + READ_S
+    while record.now() < end:
+        found.append(await read(random.choice(deployment.control_ips)))
+        await asyncio.sleep(0.25)
+    counts = {text: found.count(text) for text in sorted(set(found))}
+    running = [n for n, process in deployment.processes.items() if process.poll() is None]
+    cpu = ""
+    if frozen:
+        with open(f"/proc/{deployment.processes[frozen].pid}/stat") as stat:
+            ticks = sum(map(int, stat.read().rsplit(")", 1)[1].split()[11:13]))
+        cpu = f"; {frozen} used {ticks / os.sysconf('SC_CLK_TCK'):.1f} s of a processor"
+    text = (f"before the disk was lost: {before}; version 5 was acknowledged; "
+            f"reads at the end: {counts}; {len(running)} of {len(deployment.processes)} processes "
+            f"run; {callers.answered} streams served{cpu}; different maps: {group.broken}")
+    return text, "version 5" not in counts
 
 
 d.run_case(FOLDER, main)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -350,8 +351,23 @@
     """Runs `main(deployment_holder, record, trouble)`; exits as the order of work says."""
     record, holder, code = Record(folder), [], 2
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def stop(*_):
+        for deployment in holder:
+            deployment.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+
+    async def whole():
+        # Connections that end with the case are no news.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        return await asyncio.wait_for(main(holder, record, trouble), limit_s)
+
+    loop = asyncio.new_event_loop()
     try:
-        verdict, broken = asyncio.run(asyncio.wait_for(main(holder, record, trouble), limit_s))
+        verdict, broken = loop.run_until_complete(whole())
         code = 1 if broken else 0
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         verdict = f"could not run: {error!r}"
@@ -359,4 +375,5 @@
         for deployment in holder:
             deployment.end()
     record.write(("BROKEN: " if code == 1 else "HELD: " if code == 0 else "") + verdict)
-    raise SystemExit(code)
+    sys.stdout.flush()
+    os._exit(code)
