Evacuation of failure domains

Operators can ask that no more requests be sent to the targets of a failure domain, and take that back.

The state lives in the control nodes' replicated log (EvacuationRegistry) and reaches gateways with every answer of a control node; the highest revision counts (EvacuationView), so a node that lags undoes nothing. Each change names the revision of its domain that the receiving node knew, so a copy that a frozen node reads late has no effect after a later order. Gateways leave out targets of evacuated domains wherever they choose one, and refuse at once where none is left.

Without the check in FindCheapest() the pool's test fails.

--- /dev/null
+++ b/src/libs/evacuation/evacuation_state.h
@@ -0,0 +1,22 @@
+#ifndef LIBS_EVACUATION_EVACUATION_STATE_H_
+#define LIBS_EVACUATION_EVACUATION_STATE_H_
+
+#include <cstdint>
+#include <set>
+
+#include "libs/base/ids.h"
+
+namespace bilberryspool::evacuation {
+
+// The evacuated failure domains as of a revision. A higher revision is newer,
+// whichever control node reports it.
+struct EvacuationState {
+  std::uint64_t revision = 0;
+  std::set<FailureDomain> domains;
+
+  bool operator==(const EvacuationState&) const = default;
+};
+
+}  // namespace bilberryspool::evacuation
+
+#endif  // LIBS_EVACUATION_EVACUATION_STATE_H_
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -92,6 +92,11 @@
   slow_[source] = std::move(by_address);
 }
 
+bool TargetPool::IsReady(const Target& target) const {
+  return target.announcement.standing == Standing::kReady &&
+         !evacuations_.IsEvacuated(target.announcement.domain);
+}
+
 bool TargetPool::IsWithinLimit(const Target& target, TimePoint now) const {
   return limits_.size() == 0 || limits_.MayTake(target.announcement.run(), now);
 }
@@ -106,8 +111,8 @@
   }
   for (const auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
-    if (reported.service != service || reported.standing != Standing::kReady ||
-        target.is_silent() || IsPaused(target, now) || tried.contains(id)) {
+    if (reported.service != service || !IsReady(target) || target.is_silent() ||
+        IsPaused(target, now) || tried.contains(id)) {
       continue;
     }
     const TargetRun run = reported.run();
@@ -127,8 +132,7 @@
   std::optional<Duration> soonest;
   for (const auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
-    if (reported.service != service || reported.standing != Standing::kReady ||
-        target.is_silent()) {
+    if (reported.service != service || !IsReady(target) || target.is_silent()) {
       continue;
     }
     const TargetRun run = reported.run();
@@ -147,7 +151,7 @@
   PausedTargets paused;
   for (const auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
-    if (reported.service != service || reported.standing != Standing::kReady) {
+    if (reported.service != service || !IsReady(target)) {
       continue;
     }
     const Duration left = pauses_.TimeLeft(id, reported.incarnation, now);
@@ -268,8 +272,7 @@
 
 bool TargetPool::IsUsable(const TargetId& id) const {
   const auto found = targets_.find(id);
-  return found != targets_.end() &&
-         found->second.announcement.standing == Standing::kReady;
+  return found != targets_.end() && IsReady(found->second);
 }
 
 }  // namespace bilberryspool::traffic
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -21,6 +21,7 @@
 
 #include "libs/base/random.h"
 #include "libs/declared_limits/limit_accounts.h"
+#include "libs/evacuation/evacuation_view.h"
 #include "libs/traffic/group_availability.h"
 #include "libs/traffic/target_liveness.h"
 #include "libs/traffic/target_pauses.h"
@@ -74,6 +75,7 @@
 // Why no target was chosen.
 enum class NoChoice {
   kNone,        // no target of the service is known
+  kEvacuated,   // all known targets are in evacuated failure domains
   kFull,        // all targets have the maximum number of requests
   kPaused,      // all remaining targets have asked for a pause
   kInCooldown,  // all remaining targets failed recently
@@ -99,6 +101,15 @@
   void SetSlow(const std::string& source,
                std::map<std::string, double> by_address);
 
+  // Records the evacuated failure domains that a control node reports. Their
+  // targets get no requests. Returns whether they have changed.
+  bool SetEvacuated(const evacuation::EvacuationState& reported) {
+    return evacuations_.OnReported(reported);
+  }
+  const evacuation::EvacuationState& evacuations() const {
+    return evacuations_.state();
+  }
+
   // Chooses a target of `service` for one request, excluding `tried`. The
   // request counts as sent from now on: each Choice must be followed by one
   // OnEnded().
@@ -225,6 +236,9 @@
   double PaceOf(const Target& target) const;
   bool IsSlow(const Target& target) const;
   bool IsWithinLimit(const Target& target, TimePoint now) const;
+  // Whether the target announces that it accepts requests, in a failure domain
+  // that is not evacuated.
+  bool IsReady(const Target& target) const;
   bool IsPaused(const Target& target, TimePoint now) const {
     return pauses_.IsPaused(target.announcement.target,
                             target.announcement.incarnation, now);
@@ -235,6 +249,7 @@
     double cost = 0.0;
     double load = 0.0;
     bool is_any_known = false;
+    bool is_any_evacuated = false;
     bool is_any_full = false;
     bool is_any_paused = false;
   };
@@ -268,6 +283,7 @@
   declared_limits::LimitAccounts limits_{
       declared_limits::LimitAccountsOptions{}};
   TargetPauses pauses_;
+  evacuation::EvacuationView evacuations_;
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
--- a/src/libs/traffic/target_pool_choice.cc
+++ b/src/libs/traffic/target_pool_choice.cc
@@ -107,8 +107,7 @@
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& item) {
     const Target& target = item.second;
     const TargetAnnouncement& reported = target.announcement;
-    return reported.service == service &&
-           reported.standing == Standing::kReady &&
+    return reported.service == service && IsReady(target) &&
            tried.count(item.first) == 0 && !IsSlow(target) &&
            !target.is_silent() && now >= target.cooldown_until &&
            now >= target.full_until && !IsPaused(target, now) &&
@@ -142,6 +141,10 @@
       continue;
     }
 #endif
+    if (evacuations_.IsEvacuated(reported.domain)) {
+      best.is_any_evacuated = true;
+      continue;
+    }
     best.is_any_known = true;
     const double max_load = options_.max_load_factor * reported.slots;
     if (IsPaused(target, now)) {
@@ -174,7 +177,7 @@
     best = FindCheapest(service, tried, /*may_be_slow=*/true, now);
   }
   if (!best.is_any_known) {
-    return NoChoice::kNone;
+    return best.is_any_evacuated ? NoChoice::kEvacuated : NoChoice::kNone;
   }
   // If the other targets are full, one that failed recently is not chosen; the
   // service counts as full.
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -16,6 +16,28 @@
 using json_reading::Number;
 using json_reading::Text;
 
+namespace {
+
+std::optional<evacuation::EvacuationState> EvacuationsFromJson(
+    const json::object& object) {
+  const auto revision = Number(object, "evacuation_revision");
+  const json::array* domains = List(object, "evacuated");
+  if (!revision || domains == nullptr) {
+    return std::nullopt;
+  }
+  evacuation::EvacuationState state;
+  state.revision = *revision;
+  for (const json::value& domain : *domains) {
+    if (!domain.is_string()) {
+      return std::nullopt;
+    }
+    state.domains.insert(FailureDomain(std::string(domain.get_string())));
+  }
+  return state;
+}
+
+}  // namespace
+
 json::value ToJson(const WatchQuery& query) {
   return json::object{{"asker", query.requester},
                       {"control_address", query.control_address},
@@ -26,6 +48,7 @@
                       {"slow_revision", query.slow_revision},
                       {"quarantine_revision", query.quarantine_revision},
                       {"limits_revision", query.limits_revision},
+                      {"evacuation_revision", query.evacuation_revision},
                       {"limits", declared_limits::ToJson(query.limits)},
                       {"wants_configuration", query.wants_configuration},
                       {"wait_us", query.wait.count()}};
@@ -40,6 +63,10 @@
   for (const auto& [address, pace] : answer.slow_targets) {
     slow[address] = pace;
   }
+  json::array evacuated;
+  for (const FailureDomain& domain : answer.evacuations.domains) {
+    evacuated.emplace_back(domain.value());
+  }
   json::object object{{"boot", answer.boot},
                       {"revision", answer.revision},
                       {"version", answer.version},
@@ -54,6 +81,8 @@
                       {"targets", answer.targets.value},
                       {"gateways", answer.gateways},
                       {"sharers", answer.sharers},
+                      {"evacuation_revision", answer.evacuations.revision},
+                      {"evacuated", std::move(evacuated)},
                       {"members", std::move(members)}};
   if (answer.quarantine.has_value()) {
     object["quarantine"] = quarantine::ToJson(*answer.quarantine);
@@ -81,6 +110,7 @@
   const auto slow_revision = Number(*object, "slow_revision");
   const auto quarantine_revision = Number(*object, "quarantine_revision");
   const auto limits_revision = Number(*object, "limits_revision");
+  const auto evacuation_revision = Number(*object, "evacuation_revision");
   const json::value* limits = object->if_contains("limits");
   auto statements = limits == nullptr
                         ? std::nullopt
@@ -89,7 +119,8 @@
   const auto wait = Number(*object, "wait_us");
   if (!requester || !control_address || !boot || !revision || !version ||
       !was_leader || !slow_revision || !quarantine_revision ||
-      !limits_revision || !statements || !wants_configuration || !wait) {
+      !limits_revision || !evacuation_revision || !statements ||
+      !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -102,6 +133,7 @@
   query.slow_revision = *slow_revision;
   query.quarantine_revision = *quarantine_revision;
   query.limits_revision = *limits_revision;
+  query.evacuation_revision = *evacuation_revision;
   query.limits = std::move(*statements);
   query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
@@ -125,12 +157,13 @@
   const auto limits_revision = Number(*object, "limits_revision");
   const auto gateways = Number(*object, "gateways");
   const auto sharers = Number(*object, "sharers");
+  auto evacuations = EvacuationsFromJson(*object);
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
       !slow_revision || !quarantine_revision || !is_quarantine_whole ||
-      !limits_revision || !gateways || !sharers || !targets ||
+      !limits_revision || !gateways || !sharers || !evacuations || !targets ||
       members == nullptr || slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
@@ -158,6 +191,7 @@
   }
   answer.gateways = *gateways;
   answer.sharers = *sharers;
+  answer.evacuations = std::move(*evacuations);
   answer.is_whole = *is_whole;
   if (auto text = Text(*object, "configuration")) {
     answer.configuration = packing::PackedText{std::move(*text)};
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -13,6 +13,7 @@
 
 #include "libs/base/time.h"
 #include "libs/declared_limits/declared_limit.h"
+#include "libs/evacuation/evacuation_state.h"
 #include "libs/packing/packed_text.h"
 #include "libs/quarantine/quarantine_record.h"
 #include "libs/traffic/target_registry.h"
@@ -36,6 +37,7 @@
   std::uint64_t slow_revision = 0;  // of the slow targets
   std::uint64_t quarantine_revision = 0;
   std::uint64_t limits_revision = 0;
+  std::uint64_t evacuation_revision = 0;
   // Limits that targets recently declared to the gateway.
   std::vector<declared_limits::LimitStatement> limits;
   // Whether the response should include a newer configuration or only its
@@ -79,6 +81,9 @@
   // The requester's shares of all limits that targets declare. Only set if the
   // requester's revision differs.
   std::optional<std::vector<declared_limits::LimitShare>> shares;
+  // The failure domains whose targets get no requests, as far as the node
+  // knows.
+  evacuation::EvacuationState evacuations;
   // Only set if it is newer than the gateway's version and wanted.
   std::optional<packing::PackedText> configuration;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -88,6 +88,10 @@
                   {{"version", configuration().version()}});
         changed_.NotifyAll();
         return;
+      case ReplicatedState::Change::kEvacuations:
+        LogEvacuations();
+        changed_.NotifyAll();
+        return;
       case ReplicatedState::Change::kRefusals:
         quarantine_.OnLogRecords(state_.refusals(), SteadyNow());
         return;
@@ -110,6 +114,8 @@
   limits_.Register(server);
   server.Register("control.submit",
                   [this](const Json& params) { return OnSubmit(params); });
+  server.Register("control.evacuate",
+                  [this](const Json& params) { return OnEvacuate(params); });
   server.Register("control.read", [this](const Json&) { return OnRead(); });
   server.Register("control.target",
                   [this](const Json& params) { return OnTarget(params); });
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -5,6 +5,7 @@
 #define PLUGINS_CONTROL_NODE_CONTROL_NODE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "libs/config/numbered_configuration.h"
+#include "libs/evacuation/evacuation_registry.h"
 #include "libs/links/link_client.h"
 #include "libs/links/link_server.h"
 #include "libs/net/fiber_signal.h"
@@ -44,6 +46,23 @@
                                    ConfigurationInvalid,
                                    ConfigurationOutcomeUnknown>;
 
+// What an operator wants of a failure domain.
+struct EvacuationOrder {
+  FailureDomain domain;
+  bool is_evacuated = false;
+};
+// The order is in force and survives the loss of any tolerated nodes.
+struct EvacuationAccepted {};
+struct EvacuationInvalid {
+  std::string reason;
+};
+// It is not known whether the order will take effect. It may be sent again.
+struct EvacuationOutcomeUnknown {
+  std::string reason;
+};
+using EvacuationOutcome = std::
+    variant<EvacuationAccepted, EvacuationInvalid, EvacuationOutcomeUnknown>;
+
 // Runs in the control loop; calls may suspend the fiber.
 class ControlNode {
  public:
@@ -63,6 +82,12 @@
   // determine it.
   std::optional<std::string> Read();
 
+  // Evacuates a failure domain, or withdraws that. `is_abandoned` says whether
+  // the operator has stopped waiting: an order that is then still on its way
+  // must not take effect after later ones.
+  EvacuationOutcome Evacuate(const EvacuationOrder& order,
+                             const std::function<bool()>& is_abandoned);
+
   // Both return as soon as the notification of the gateways has started.
   void Announce(const traffic::TargetAnnouncement& announcement);
   void Withdraw(const TargetId& target, Incarnation incarnation);
@@ -92,6 +117,10 @@
   const config::NumberedConfiguration& configuration() const {
     return state_.configuration();
   }
+  // The evacuated failure domains, as far as this node knows.
+  const evacuation::EvacuationRegistry& evacuations() const {
+    return state_.evacuations();
+  }
   const traffic::TargetRegistry& targets() const { return targets_; }
   QuarantineManager& quarantine() { return quarantine_; }
   LimitManager& limits() { return limits_; }
@@ -115,6 +144,19 @@
   SubmitOutcome SubmitToNode(const net::Endpoint& leader,
                              std::uint64_t version,
                              const packing::PackedText& text);
+  // The domain has changed since the revision that the order was based on.
+  struct EvacuationOutdated {
+    std::uint64_t revision = 0;  // of the domain
+  };
+  using EvacuationStep = std::
+      variant<EvacuationAccepted, EvacuationOutdated, EvacuationOutcomeUnknown>;
+  EvacuationStep EvacuateLocally(const evacuation::EvacuationChange& change);
+  EvacuationStep EvacuateAtNode(const net::Endpoint& leader,
+                                const evacuation::EvacuationChange& change);
+  // Passes the change to the leader.
+  EvacuationStep EvacuateAtLeader(const evacuation::EvacuationChange& change);
+  std::optional<Json> OnEvacuate(const Json& params);
+  void LogEvacuations();
   std::optional<packing::PackedText> ReadPacked();
   std::optional<packing::PackedText> ReadLocally();
   // Returns the leader if it is known, otherwise the nodes that may be the
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -8,6 +8,7 @@
 #include "libs/net/steady_time.h"
 #include "libs/telemetry/metrics.h"
 #include "plugins/control_node/control_node.h"
+#include "plugins/control_node/evacuation_service.h"
 #include "plugins/control_node/group_manager.h"
 #include "plugins/control_node/quarantine_service.h"
 #include "plugins/control_node/watch_service.h"
@@ -42,6 +43,7 @@
               interface.read_configuration),
         watch_(loop_, node_),
         quarantine_service_(node_),
+        evacuation_service_(node_),
         links_(loop_, authenticator),
         groups_(loop_,
                 links_,
@@ -119,9 +121,10 @@
     return error;
   }
 
-  // Serves metrics and the operators' quarantine requests.
+  // Serves metrics, and operators' requests on quarantine and evacuations.
   void Serve(net::HttpExchange& exchange) {
-    if (!quarantine_service_.Serve(exchange)) {
+    if (!quarantine_service_.Serve(exchange) &&
+        !evacuation_service_.Serve(exchange)) {
       ServeMetrics(exchange);
     }
   }
@@ -136,6 +139,7 @@
     metrics_.GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
         .Set(node_.replica().is_leader() ? 1.0 : 0.0);
     quarantine_service_.SetMetrics(metrics_);
+    evacuation_service_.SetMetrics(metrics_);
     metrics_
         .GaugeFor({"bilberryspool_declared_limits",
                    "Targets that declare a limit for all callers"})
@@ -191,6 +195,7 @@
   ControlNode node_;
   WatchService watch_;
   QuarantineService quarantine_service_;
+  EvacuationService evacuation_service_;
   links::LinkClient links_;
   GroupManager groups_;
   links::LinkServer peers_;
--- a/src/plugins/control_node/replicated_state.cc
+++ b/src/plugins/control_node/replicated_state.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <utility>
 
 #include "libs/quarantine/quarantine_codec.h"
 
@@ -9,11 +10,25 @@
 
 namespace {
 
-// Not a number, unlike the start of a configuration command.
+// Not numbers, unlike the start of a configuration command.
 constexpr std::string_view kRefusals = "refusals\n";
-// Separates the refusals from the configuration in a snapshot; the packed text
-// of the configuration contains no line break.
+constexpr std::string_view kEvacuation = "evacuation\n";
+// Separate the parts of a snapshot, which contain no line breaks.
 constexpr std::string_view kRefusalsSeparator = "\nrefusals\n";
+constexpr std::string_view kEvacuationsSeparator = "\nevacuations\n";
+
+// Removes the part after the last `separator` from `bytes` and returns it; an
+// empty part if there is none.
+std::string_view TakePartAfter(std::string_view separator,
+                               std::string_view& bytes) {
+  const std::size_t at = bytes.rfind(separator);
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view part = bytes.substr(at + separator.size());
+  bytes = bytes.substr(0, at);
+  return part;
+}
 
 }  // namespace
 
@@ -23,11 +38,24 @@
          boost::json::serialize(quarantine::ToJson(records));
 }
 
+std::string ReplicatedState::ProposeEvacuation(
+    const evacuation::EvacuationChange& change) {
+  return std::string(kEvacuation) +
+         evacuation::EvacuationRegistry::Encode(change);
+}
+
 ReplicatedState::Change ReplicatedState::Apply(std::string_view command) {
   if (command.starts_with(kRefusals)) {
     refusals_ = std::string(command.substr(kRefusals.size()));
     return Change::kRefusals;
   }
+  if (command.starts_with(kEvacuation)) {
+    const auto change = evacuation::EvacuationRegistry::Decode(
+        command.substr(kEvacuation.size()));
+    return change.has_value() && evacuations_.Apply(*change)
+               ? Change::kEvacuations
+               : Change::kNone;
+  }
   return configuration_.Apply(command) ? Change::kConfiguration : Change::kNone;
 }
 
@@ -37,18 +65,24 @@
     bytes += kRefusalsSeparator;
     bytes += refusals_;
   }
+  if (evacuations_.size() > 0) {
+    bytes += kEvacuationsSeparator;
+    bytes += evacuations_.Export();
+  }
   return bytes;
 }
 
 bool ReplicatedState::Import(std::string_view bytes) {
-  const std::size_t separator = bytes.find(kRefusalsSeparator);
-  if (!configuration_.Import(bytes.substr(0, separator))) {
+  const std::string_view evacuations =
+      TakePartAfter(kEvacuationsSeparator, bytes);
+  const std::string_view refusals = TakePartAfter(kRefusalsSeparator, bytes);
+  evacuation::EvacuationRegistry read;
+  if ((!evacuations.empty() && !read.Import(evacuations)) ||
+      !configuration_.Import(bytes)) {
     return false;
   }
-  refusals_ =
-      separator == std::string_view::npos
-          ? std::string()
-          : std::string(bytes.substr(separator + kRefusalsSeparator.size()));
+  refusals_ = std::string(refusals);
+  evacuations_ = std::move(read);
   return true;
 }
 
--- a/src/plugins/control_node/replicated_state.h
+++ b/src/plugins/control_node/replicated_state.h
@@ -1,5 +1,6 @@
-// The state that the control replicas' log determines: the configuration, and
-// the requests that are refused because they terminated targets.
+// The state that the control replicas' log determines: the configuration, the
+// evacuated failure domains, and the requests that are refused because they
+// terminated targets.
 
 #ifndef PLUGINS_CONTROL_NODE_REPLICATED_STATE_H_
 #define PLUGINS_CONTROL_NODE_REPLICATED_STATE_H_
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "libs/config/numbered_configuration.h"
+#include "libs/evacuation/evacuation_registry.h"
 #include "libs/quarantine/quarantine_record.h"
 
 namespace bilberryspool::control_node {
@@ -16,13 +18,17 @@
 // Deterministic: the same commands result in the same state on each replica.
 class ReplicatedState {
  public:
-  enum class Change { kNone, kConfiguration, kRefusals };
+  enum class Change { kNone, kConfiguration, kRefusals, kEvacuations };
 
   // Returns the command that replaces the refusals. Versions that don't know
   // this command ignore it.
   static std::string ProposeRefusals(
       const std::vector<quarantine::QuarantineRecord>& records);
 
+  // The same for the command that evacuates a failure domain or withdraws that.
+  static std::string ProposeEvacuation(
+      const evacuation::EvacuationChange& change);
+
   Change Apply(std::string_view command);
 
   // Serializes the state, and restores it. Import() returns false if the bytes
@@ -33,6 +39,9 @@
   const config::NumberedConfiguration& configuration() const {
     return configuration_;
   }
+  const evacuation::EvacuationRegistry& evacuations() const {
+    return evacuations_;
+  }
   // The refusals as they were proposed; empty if they can't be parsed.
   std::vector<quarantine::QuarantineRecord> refusals() const;
 
@@ -40,6 +49,7 @@
   config::NumberedConfiguration configuration_;
   // JSON without line breaks; empty before the first proposal.
   std::string refusals_;
+  evacuation::EvacuationRegistry evacuations_;
 };
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -39,7 +39,8 @@
            query->slow_revision != node_.slow_revision() ||
            query->quarantine_revision < node_.quarantine().urgent_revision() ||
            (!query->requester.empty() &&
-            query->limits_revision != node_.limits().published_revision());
+            (query->limits_revision != node_.limits().published_revision() ||
+             query->evacuation_revision != node_.evacuations().revision()));
   };
   const auto has_update = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -82,6 +83,7 @@
   }
   answer.gateways = CountGateways(SteadyNow());
   answer.sharers = census_.CountSharers(answer.is_leader, SteadyNow());
+  answer.evacuations = node_.evacuations().state();
   answer.version = node_.configuration().version();
   answer.bytes = node_.configuration().text().value.size();
   if (query->wants_configuration && answer.version > query->version) {
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -206,6 +206,7 @@
   query.slow_revision = node.slow_revision;
   query.quarantine_revision = node.quarantine_revision;
   query.limits_revision = node.limits_revision;
+  query.evacuation_revision = node.evacuation_revision;
   query.limits = state_.targets.limits().Statements(SteadyNow());
   // While another fiber fetches the configuration, this fiber queries again
   // soon in case that fetch fails.
@@ -248,6 +249,7 @@
   node.slow_revision = answer.slow_revision;
   node.quarantine_revision = answer.quarantine_revision;
   node.limits_revision = answer.limits_revision;
+  node.evacuation_revision = answer.evacuations.revision;
   node.last_response_at = now;
   if (answer.quarantine.has_value()) {
     state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine,
@@ -257,6 +259,7 @@
     state_.targets.limits().Adopt(node.endpoint.ToString(), *answer.shares,
                                   now);
   }
+  AdoptEvacuations(answer.evacuations);
   AdoptConfiguration(answer);
   state_.SetGatewayCount(answer.gateways);
   state_.SetRetrySharers(answer.sharers);
@@ -279,6 +282,20 @@
 
 // The version in force never decreases: an answer that arrives late may be
 // older than the configuration in force.
+void ControlFollower::AdoptEvacuations(
+    const evacuation::EvacuationState& reported) {
+  if (!state_.targets.SetEvacuated(reported)) {
+    return;
+  }
+  std::string domains;
+  for (const FailureDomain& domain : reported.domains) {
+    domains += (domains.empty() ? "" : ",") + domain.value();
+  }
+  log_.Info("Evacuated failure domains changed.",
+            {{"domains", domains.empty() ? "none" : domains},
+             {"revision", reported.revision}});
+}
+
 void ControlFollower::AdoptConfiguration(const traffic::WatchAnswer& answer) {
   if (!answer.configuration.has_value() ||
       answer.version <= version_in_force()) {
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -67,6 +67,7 @@
     std::uint64_t slow_revision = 0;
     std::uint64_t quarantine_revision = 0;
     std::uint64_t limits_revision = 0;
+    std::uint64_t evacuation_revision = 0;
     bool is_reachable = false;
     TimePoint last_response_at;
   };
@@ -94,6 +95,7 @@
   void Adopt(Node& node,
              const traffic::WatchAnswer& answer,
              const std::vector<traffic::TargetRecord>& targets);
+  void AdoptEvacuations(const evacuation::EvacuationState& reported);
   // Puts the configuration of the answer in force if it is newer than the
   // present one.
   void AdoptConfiguration(const traffic::WatchAnswer& answer);
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -212,6 +212,10 @@
         .GaugeFor({"bilberryspool_paused_targets",
                    "Targets that have asked this gateway for a pause"})
         .Set(static_cast<double>(state_.targets.CountPaused(SteadyNow())));
+    state_.metrics
+        .GaugeFor({"bilberryspool_evacuated_failure_domains",
+                   "Failure domains whose targets get no requests"})
+        .Set(static_cast<double>(state_.targets.evacuations().domains.size()));
     net::HttpResponseHead head;
     head.headers.Add("Content-Type", "text/plain; version=0.0.4");
     exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
--- a/src/plugins/gateway/relay_call_answers.cc
+++ b/src/plugins/gateway/relay_call_answers.cc
@@ -45,6 +45,9 @@
     case traffic::NoChoice::kNone:
       Refuse(kDefaultRetryAfter, "no target");
       return;
+    case traffic::NoChoice::kEvacuated:
+      Refuse(RetryAfter(), "all targets are in evacuated failure domains");
+      return;
     case traffic::NoChoice::kFull:
       RefuseFull();
       return;
--- a/tests/auto/control_node/replicated_state_test.cc
+++ b/tests/auto/control_node/replicated_state_test.cc
@@ -57,6 +57,31 @@
   CHECK(read.configuration().version() == 3);
 }
 
+// Guards against losing an acknowledged evacuation when a replica restarts from
+// a snapshot.
+TEST_CASE("a snapshot holds evacuations, with and without refusals") {
+  const FailureDomain domain("z\nevacuations\n");
+  for (const bool has_refusals : {false, true}) {
+    CAPTURE(has_refusals);
+    ReplicatedState state;
+    state.Apply(Configuration(3));
+    if (has_refusals) {
+      state.Apply(ReplicatedState::ProposeRefusals(OneRefusal()));
+    }
+    CHECK(state.Apply(ReplicatedState::ProposeEvacuation({domain, true, 0})) ==
+          ReplicatedState::Change::kEvacuations);
+    CHECK(state.Apply(ReplicatedState::ProposeEvacuation({domain, true, 0})) ==
+          ReplicatedState::Change::kNone);
+    CHECK(state.Apply("evacuation\n{") == ReplicatedState::Change::kNone);
+    ReplicatedState read;
+    REQUIRE(read.Import(state.Export()));
+    CHECK(read.configuration().version() == 3);
+    CHECK(read.refusals().size() == (has_refusals ? 1 : 0));
+    CHECK(read.evacuations().IsEvacuated(domain));
+    CHECK(read.evacuations().revision() == 1);
+  }
+}
+
 TEST_CASE("malformed refusals are treated as none") {
   ReplicatedState state;
   state.Apply("refusals\n{");
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -52,6 +52,7 @@
   record.verdict = quarantine::Verdict::kRefused;
   answer.quarantine = {record};
   answer.limits_revision = 15;
+  answer.evacuations = {4, {FailureDomain("z1"), FailureDomain("z2")}};
   answer.shares = {{{TargetId("t"), Incarnation(3)}, 5.0, 0.5}};
   answer.configuration = packing::PackedText{"{\"version\":7}"};
   return answer;
@@ -68,6 +69,7 @@
   query.slow_revision = 4;
   query.quarantine_revision = 5;
   query.limits_revision = 6;
+  query.evacuation_revision = 3;
   query.limits = {{{TargetId("t"), Incarnation(3)}, 5.0, Milliseconds(7)}};
   query.wait = Milliseconds(900);
   query.wants_configuration = false;
@@ -82,6 +84,7 @@
   CHECK(asked->slow_revision == 4);
   CHECK(asked->quarantine_revision == 5);
   CHECK(asked->limits_revision == 6);
+  CHECK(asked->evacuation_revision == 3);
   REQUIRE(asked->limits.size() == 1);
   CHECK(asked->limits[0].run == query.limits[0].run);
   CHECK(asked->limits[0].per_second == 5.0);
@@ -114,6 +117,7 @@
   CHECK(answered->quarantine->front().request ==
         quarantine::RequestFingerprint{1, 2});
   CHECK(answered->limits_revision == 15);
+  CHECK(answered->evacuations == MakeAnswer().evacuations);
   REQUIRE(answered->shares.has_value());
   REQUIRE(answered->shares->size() == 1);
   CHECK(answered->shares->front().share == 0.5);
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -42,6 +42,8 @@
   switch (std::get<NoChoice>(outcome)) {
     case NoChoice::kNone:
       return "none";
+    case NoChoice::kEvacuated:
+      return "evacuated";
     case NoChoice::kFull:
       return "full";
     case NoChoice::kPaused:
@@ -52,6 +54,23 @@
   return "";
 }
 
+// Guards against requests to a failure domain that is about to lose its power.
+TEST_CASE("targets in evacuated failure domains get no requests") {
+  TargetPool pool = MakePool();
+  TargetRecord other = Record("b");
+  other.announcement.domain = FailureDomain("z2");
+  pool.Update("c1", true, {Record("a"), other}, kStart);
+  CHECK(pool.SetEvacuated({1, {FailureDomain("z1")}}));
+  for (int i = 0; i < 4; ++i) {
+    CHECK(Chosen(pool, kStart) == "b");
+  }
+  CHECK_FALSE(pool.IsUsable(TargetId("a")));
+  CHECK(pool.SetEvacuated({2, {FailureDomain("z1"), FailureDomain("z2")}}));
+  CHECK(Chosen(pool, kStart) == "evacuated");
+  CHECK(pool.SetEvacuated({3, {FailureDomain("z2")}}));
+  CHECK(Chosen(pool, kStart) == "a");
+}
+
 // Guards against sending more requests to a target than it accepts from all
 // gateways together.
 TEST_CASE(
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -21,6 +21,7 @@
 DEFINE_int32(first_port, 0, "port of the first target; the others follow");
 DEFINE_int32(count, 2, "targets");
 DEFINE_string(service, "model", "service of the targets");
+DEFINE_string(zone, "z1", "failure domain of the targets");
 DEFINE_string(control, "", "control nodes, IP:PORT, separated by commas");
 DEFINE_int32(event_ms, 20, "pause between the events of a stream");
 DEFINE_string(boot, "", "suffix of the target ids, different for each start");
@@ -83,7 +84,7 @@
     announcement_.target = TargetId(id_);
     announcement_.service = ServiceId(FLAGS_service);
     announcement_.address = endpoint_.ToString();
-    announcement_.domain = FailureDomain("z1");
+    announcement_.domain = FailureDomain(FLAGS_zone);
     announcement_.slots = 8;
     loop_.Spawn([this] { AnnouncePeriodically(); });
     return server_.Start();
