Gateways choose a group before a rank, by loads that all share

A gateway chose a rank and never a group, though all ranks of a group pass together, and knew the loads of 72 ranks from answers to its own requests, one a rank each 11 s.

The leader reads every rank for the maps anyhow. It now publishes, for services with more than one group, what runs at each rank, whether the group is open, and its room: the requests with which passes stay within the pauses that callers accept. Gateways draw a group by free room and a rank by load.

--- a/src/libs/traffic/route_table.cc
+++ b/src/libs/traffic/route_table.cc
@@ -6,12 +6,20 @@
 
 RouteTable::RouteTable(
     std::shared_ptr<const TrafficConfiguration> configuration)
-    : configuration_(std::move(configuration)) {
+    : configuration_(std::move(configuration)),
+      demands_(DemandsByService(*configuration_)) {
   for (const Route& route : configuration_->routes) {
     routes_[route.host][route.path_prefix] = &route;
   }
 }
 
+const std::vector<std::uint32_t>& RouteTable::PrioritiesOf(
+    const ServiceId& service) const {
+  static const std::vector<std::uint32_t> kNone;
+  const auto found = demands_.find(service);
+  return found == demands_.end() ? kNone : found->second.priorities;
+}
+
 // Prefixes end with a slash, so only the prefixes of `path` that end with a
 // slash are looked up, the longest first.
 const Route* RouteTable::FindRoute(std::string_view host,
--- a/src/libs/traffic/route_table.h
+++ b/src/libs/traffic/route_table.h
@@ -41,11 +41,15 @@
                      std::string_view key) const;
 
   const TrafficConfiguration& configuration() const { return *configuration_; }
+  // The priorities of the routes to `service`, in ascending order.
+  const std::vector<std::uint32_t>& PrioritiesOf(
+      const ServiceId& service) const;
 
  private:
   const Route* FindRoute(std::string_view host, std::string_view path) const;
 
   std::shared_ptr<const TrafficConfiguration> configuration_;
+  std::map<ServiceId, ServiceDemands> demands_;
   // By host, then by path prefix.
   std::map<std::string,
            std::map<std::string, const Route*, std::less<>>,
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -22,6 +22,7 @@
 #include "libs/base/random.h"
 #include "libs/declared_limits/limit_accounts.h"
 #include "libs/evacuation/evacuation_view.h"
+#include "libs/group_loads/group_load_view.h"
 #include "libs/traffic/group_availability.h"
 #include "libs/traffic/target_liveness.h"
 #include "libs/traffic/target_pauses.h"
@@ -110,6 +111,19 @@
     return evacuations_.state();
   }
 
+  // Records the loads of lock-step groups that the control node `source`
+  // reports.
+  void SetGroupLoads(const std::string& source,
+                     const std::vector<group_loads::GroupLoad>& loads,
+                     TimePoint now);
+  // A target refused a request because another rank of its group is missing.
+  void OnGroupRefused(const TargetId& target, TimePoint now);
+  // Part of the room of `service` that is in use: of its groups, as control
+  // nodes report it, or of the slots of its targets, as far as their answers
+  // show. Above 1 if requests wait. Nothing if it is not known.
+  std::optional<double> LoadFractionOf(const ServiceId& service,
+                                       TimePoint now) const;
+
   // Chooses a target of `service` for one request, excluding `tried`. The
   // request counts as sent from now on: each Choice must be followed by one
   // OnEnded().
@@ -274,6 +288,13 @@
   // their load says nothing about it.
   double MinLoadOf(const Target& target, double load, TimePoint now) const;
   double CostOf(const Target& target, double load, TimePoint now);
+  // The group that a request of `service` should go to; nothing if the service
+  // has no group or one only.
+  std::optional<GroupId> ChooseGroup(const ServiceId& service, TimePoint now);
+  // What speaks against the target with regard to its group.
+  double GroupCostOf(const Target& target,
+                     const GroupId& chosen,
+                     TimePoint now);
 
   TargetPoolOptions options_;
   Random random_;
@@ -284,6 +305,7 @@
       declared_limits::LimitAccountsOptions{}};
   TargetPauses pauses_;
   evacuation::EvacuationView evacuations_;
+  group_loads::GroupLoadView group_loads_{group_loads::GroupLoadViewOptions{}};
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
 };
 
--- a/src/libs/traffic/target_pool_choice.cc
+++ b/src/libs/traffic/target_pool_choice.cc
@@ -1,6 +1,7 @@
 // The part of TargetPool that compares targets and chooses one.
 
 #include <algorithm>
+#include <cmath>
 
 #include "libs/traffic/target_pool.h"
 
@@ -22,6 +23,14 @@
 // same target.
 constexpr double kJitter = 0.03;
 
+// Targets of other groups come after those of the chosen one, unless these are
+// full, and before suspect ones.
+constexpr double kOtherGroupCost = 2.0;
+// Spread of the choice among the ranks of a group, as a share of their slots:
+// all gateways hear of the same loads at the same time, and the rank with the
+// lowest load would get the requests of all until the next report.
+constexpr double kRankSpread = 0.2;
+
 }  // namespace
 
 double TargetPool::PaceOf(const Target& target) const {
@@ -90,6 +99,87 @@
   return cost + kJitter * random_.Fraction();
 }
 
+void TargetPool::SetGroupLoads(const std::string& source,
+                               const std::vector<group_loads::GroupLoad>& loads,
+                               TimePoint now) {
+  group_loads_.OnReported(source, loads, now);
+  std::map<GroupId, const group_loads::GroupLoad*> by_group;
+  for (const group_loads::GroupLoad& load : loads) {
+    by_group[load.group] = &load;
+  }
+  for (auto& [id, target] : targets_) {
+    const auto& place = target.announcement.group;
+    if (!place.has_value()) {
+      continue;
+    }
+    const auto found = by_group.find(place->group);
+    if (found == by_group.end() ||
+        place->rank >= found->second->by_rank.size()) {
+      continue;
+    }
+    const double all = found->second->by_rank[place->rank];
+    target.others_load = std::max(0.0, all - target.in_flight);
+    target.others_reported_at = now;
+  }
+}
+
+void TargetPool::OnGroupRefused(const TargetId& id, TimePoint now) {
+  const auto found = targets_.find(id);
+  if (found != targets_.end() && found->second.announcement.group.has_value()) {
+    group_loads_.OnGroupRefused(found->second.announcement.group->group, now);
+  }
+}
+
+std::optional<double> TargetPool::LoadFractionOf(const ServiceId& service,
+                                                 TimePoint now) const {
+  const auto of_groups = group_loads_.FractionOf(service, now);
+  if (of_groups.has_value()) {
+    return of_groups;
+  }
+  double load = 0.0;
+  double slots = 0.0;
+  bool is_any_fresh = false;
+  const double mean_others_load = MeanOthersLoad(service, now);
+  for (const auto& [id, target] : targets_) {
+    const TargetAnnouncement& known = target.announcement;
+    if (known.service != service || !IsReady(target) || target.is_silent() ||
+        known.group.has_value()) {
+      continue;
+    }
+    is_any_fresh = is_any_fresh || IsFresh(target, now);
+    load += LoadOf(target, mean_others_load, now);
+    slots += known.slots;
+  }
+  return is_any_fresh && slots > 0.0 ? std::optional<double>(load / slots)
+                                     : std::nullopt;
+}
+
+std::optional<GroupId> TargetPool::ChooseGroup(const ServiceId& service,
+                                               TimePoint now) {
+  if (!group_loads_.HasSeveralGroups(service, now)) {
+    return std::nullopt;
+  }
+  return group_loads_.Choose(service, random_.Fraction(), now);
+}
+
+double TargetPool::GroupCostOf(const Target& target,
+                               const GroupId& chosen,
+                               TimePoint now) {
+  const auto& place = target.announcement.group;
+  if (!place.has_value()) {
+    return 0.0;
+  }
+  if (place->group != chosen) {
+    return group_loads_.IsOpen(place->group, now).value_or(true)
+               ? kOtherGroupCost
+               : kSuspectCost;
+  }
+  // With this noise, the rank of least cost is drawn with probabilities in
+  // proportion to exp(-load / kRankSpread).
+  const double draw = std::max(random_.Fraction(), 1e-9);
+  return kRankSpread * std::log(-std::log(draw));
+}
+
 bool TargetPool::IsSlow(const Target& target) const {
   const double pace = PaceOf(target);
   return pace > 1.0 && pace < kUnresponsivePace;
@@ -130,6 +220,7 @@
                                                TimePoint now) {
   Candidate best;
   const double mean_others_load = MeanOthersLoad(service, now);
+  const auto group = ChooseGroup(service, now);
   for (auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
     if (reported.service != service || reported.address.empty() ||
@@ -157,7 +248,9 @@
       best.is_any_full = true;
       continue;
     }
-    const double cost = CostOf(target, load, now);
+    const double cost =
+        CostOf(target, load, now) +
+        (group.has_value() ? GroupCostOf(target, *group, now) : 0.0);
     if (best.target == nullptr || cost < best.cost) {
       best.target = &target;
       best.cost = cost;
@@ -189,6 +282,9 @@
   ++chosen.in_flight;
   limits_.Take(chosen.announcement.run(), now);
   liveness_.OnSent(chosen.announcement.target, service, now);
+  if (chosen.announcement.group.has_value()) {
+    group_loads_.OnSent(chosen.announcement.group->group);
+  }
   return Choice{chosen.announcement.target, chosen.announcement.incarnation,
                 chosen.announcement.address, best.load,
                 chosen.announcement.slots};
--- a/src/libs/traffic/traffic_configuration.cc
+++ b/src/libs/traffic/traffic_configuration.cc
@@ -1,5 +1,6 @@
 #include "libs/traffic/traffic_configuration.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,32 @@
 
 }  // namespace
 
+std::map<ServiceId, ServiceDemands> DemandsByService(
+    const TrafficConfiguration& configuration) {
+  std::map<ServiceId, ServiceDemands> by_service;
+  for (const Route& route : configuration.routes) {
+    for (const Split& split : route.splits) {
+      if (split.weight == 0) {
+        continue;
+      }
+      ServiceDemands& demands = by_service[split.service];
+      std::vector<std::uint32_t>& priorities = demands.priorities;
+      const auto place = std::lower_bound(priorities.begin(), priorities.end(),
+                                          route.priority);
+      if (place == priorities.end() || *place != route.priority) {
+        priorities.insert(place, route.priority);
+      }
+      if (route.max_gap > Duration::zero()) {
+        demands.shortest_gap =
+            demands.shortest_gap == Duration::zero()
+                ? route.max_gap
+                : std::min(demands.shortest_gap, route.max_gap);
+      }
+    }
+  }
+  return by_service;
+}
+
 std::optional<std::string> FindFault(
     const TrafficConfiguration& configuration) {
   if (configuration.version == 0) {
--- a/src/libs/traffic/traffic_configuration.h
+++ b/src/libs/traffic/traffic_configuration.h
@@ -116,6 +116,16 @@
   CallerBounds bounds;
 };
 
+// What the routes to a service ask of it together.
+struct ServiceDemands {
+  // The different priorities of the routes, in ascending order.
+  std::vector<std::uint32_t> priorities;
+  // The shortest `max_gap` of the routes that have one; zero without any.
+  Duration shortest_gap{};
+};
+std::map<ServiceId, ServiceDemands> DemandsByService(
+    const TrafficConfiguration& configuration);
+
 // Describes what is wrong with a configuration as a whole, in one sentence;
 // nothing if it is valid. A configuration in force has passed this check.
 std::optional<std::string> FindFault(const TrafficConfiguration& configuration);
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/json_reading.h"
 #include "libs/declared_limits/limit_codec.h"
+#include "libs/group_loads/group_load_codec.h"
 #include "libs/quarantine/quarantine_codec.h"
 
 namespace bilberryspool::traffic {
@@ -49,6 +50,7 @@
                       {"quarantine_revision", query.quarantine_revision},
                       {"limits_revision", query.limits_revision},
                       {"evacuation_revision", query.evacuation_revision},
+                      {"group_loads_revision", query.group_loads_revision},
                       {"limits", declared_limits::ToJson(query.limits)},
                       {"wants_configuration", query.wants_configuration},
                       {"wait_us", query.wait.count()}};
@@ -83,6 +85,7 @@
                       {"sharers", answer.sharers},
                       {"evacuation_revision", answer.evacuations.revision},
                       {"evacuated", std::move(evacuated)},
+                      {"group_loads_revision", answer.group_loads_revision},
                       {"members", std::move(members)}};
   if (answer.quarantine.has_value()) {
     object["quarantine"] = quarantine::ToJson(*answer.quarantine);
@@ -90,6 +93,9 @@
   if (answer.shares.has_value()) {
     object["shares"] = declared_limits::ToJson(*answer.shares);
   }
+  if (answer.group_loads.has_value()) {
+    object["group_loads"] = group_loads::ToJson(*answer.group_loads);
+  }
   if (answer.configuration.has_value()) {
     object["configuration"] = answer.configuration->value;
   }
@@ -111,6 +117,7 @@
   const auto quarantine_revision = Number(*object, "quarantine_revision");
   const auto limits_revision = Number(*object, "limits_revision");
   const auto evacuation_revision = Number(*object, "evacuation_revision");
+  const auto group_loads_revision = Number(*object, "group_loads_revision");
   const json::value* limits = object->if_contains("limits");
   auto statements = limits == nullptr
                         ? std::nullopt
@@ -119,8 +126,8 @@
   const auto wait = Number(*object, "wait_us");
   if (!requester || !control_address || !boot || !revision || !version ||
       !was_leader || !slow_revision || !quarantine_revision ||
-      !limits_revision || !evacuation_revision || !statements ||
-      !wants_configuration || !wait) {
+      !limits_revision || !evacuation_revision || !group_loads_revision ||
+      !statements || !wants_configuration || !wait) {
     return std::nullopt;
   }
   WatchQuery query;
@@ -134,6 +141,7 @@
   query.quarantine_revision = *quarantine_revision;
   query.limits_revision = *limits_revision;
   query.evacuation_revision = *evacuation_revision;
+  query.group_loads_revision = *group_loads_revision;
   query.limits = std::move(*statements);
   query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
@@ -157,14 +165,16 @@
   const auto limits_revision = Number(*object, "limits_revision");
   const auto gateways = Number(*object, "gateways");
   const auto sharers = Number(*object, "sharers");
+  const auto group_loads_revision = Number(*object, "group_loads_revision");
   auto evacuations = EvacuationsFromJson(*object);
   auto targets = Text(*object, "targets");
   const json::array* members = List(*object, "members");
   const json::value* slow = object->if_contains("slow");
   if (!boot || !revision || !version || !bytes || !is_leader || !is_whole ||
       !slow_revision || !quarantine_revision || !is_quarantine_whole ||
-      !limits_revision || !gateways || !sharers || !evacuations || !targets ||
-      members == nullptr || slow == nullptr || !slow->is_object()) {
+      !limits_revision || !gateways || !sharers || !evacuations ||
+      !group_loads_revision || !targets || members == nullptr ||
+      slow == nullptr || !slow->is_object()) {
     return std::nullopt;
   }
   WatchAnswer answer;
@@ -192,6 +202,13 @@
   answer.gateways = *gateways;
   answer.sharers = *sharers;
   answer.evacuations = std::move(*evacuations);
+  answer.group_loads_revision = *group_loads_revision;
+  if (const json::value* loads = object->if_contains("group_loads")) {
+    answer.group_loads = group_loads::LoadsFromJson(*loads);
+    if (!answer.group_loads.has_value()) {
+      return std::nullopt;
+    }
+  }
   answer.is_whole = *is_whole;
   if (auto text = Text(*object, "configuration")) {
     answer.configuration = packing::PackedText{std::move(*text)};
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -14,6 +14,7 @@
 #include "libs/base/time.h"
 #include "libs/declared_limits/declared_limit.h"
 #include "libs/evacuation/evacuation_state.h"
+#include "libs/group_loads/group_load.h"
 #include "libs/packing/packed_text.h"
 #include "libs/quarantine/quarantine_record.h"
 #include "libs/traffic/target_registry.h"
@@ -38,6 +39,7 @@
   std::uint64_t quarantine_revision = 0;
   std::uint64_t limits_revision = 0;
   std::uint64_t evacuation_revision = 0;
+  std::uint64_t group_loads_revision = 0;
   // Limits that targets recently declared to the gateway.
   std::vector<declared_limits::LimitStatement> limits;
   // Whether the response should include a newer configuration or only its
@@ -84,6 +86,10 @@
   // The failure domains whose targets get no requests, as far as the node
   // knows.
   evacuation::EvacuationState evacuations;
+  std::uint64_t group_loads_revision = 0;
+  // The loads of the groups that the node leads. Only set if the requester's
+  // revision differs.
+  std::optional<std::vector<group_loads::GroupLoad>> group_loads;
   // Only set if it is newer than the gateway's version and wanted.
   std::optional<packing::PackedText> configuration;
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -377,6 +377,12 @@
   changed_.NotifyAll();
 }
 
+void ControlNode::OfferGroupLoads(std::vector<group_loads::GroupLoad> loads) {
+  if (group_loads_.Offer(std::move(loads), SteadyNow())) {
+    changed_.NotifyAll();
+  }
+}
+
 void ControlNode::LogSlowTargets(
     const std::map<std::string, double>& by_address) {
   constexpr double kPercent = 100.0;
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -15,6 +15,7 @@
 
 #include "libs/config/numbered_configuration.h"
 #include "libs/evacuation/evacuation_registry.h"
+#include "libs/group_loads/group_load_publisher.h"
 #include "libs/links/link_client.h"
 #include "libs/links/link_server.h"
 #include "libs/net/fiber_signal.h"
@@ -104,6 +105,10 @@
     return slow_targets_;
   }
   std::uint64_t slow_revision() const { return slow_revision_; }
+  // Offers the loads of the groups that this node leads, to be published when
+  // that is due. Meant to be called periodically.
+  void OfferGroupLoads(std::vector<group_loads::GroupLoad> loads);
+  group_loads::GroupLoadPublisher& group_loads() { return group_loads_; }
 
   // Returns all known control nodes: the members of the log, and those that
   // were in contact recently. A node that is not a member (because there are
@@ -182,6 +187,8 @@
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
   TimePoint slow_targets_published_at_;
+  group_loads::GroupLoadPublisher group_loads_{
+      group_loads::GroupLoadPublisherOptions{}};
   bool is_saving_ = false;
   std::map<net::Endpoint, TimePoint> node_last_seen_at_;
   // Number of announcements that could not be parsed.
--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -72,6 +72,7 @@
         leadership_term_.Update(leads, term);
     if (verdict == LeadershipTerm::Verdict::kNotLeading) {
       node_.SetSlowTargets({});
+      node_.OfferGroupLoads({});
       continue;
     }
     if (verdict == LeadershipTerm::Verdict::kNewTerm) {
@@ -93,6 +94,7 @@
       task->AddSlowTargets(slow);
     }
     node_.SetSlowTargets(std::move(slow));
+    node_.OfferGroupLoads(CollectLoads(SteadyNow()));
   }
 }
 
@@ -107,6 +109,25 @@
   return by_group;
 }
 
+std::vector<group_loads::GroupLoad> GroupManager::CollectLoads(
+    TimePoint now) const {
+  std::map<ServiceId, std::size_t> groups;
+  for (const auto& [group, task] : tasks_) {
+    ++groups[served_.at(group)];
+  }
+  std::vector<group_loads::GroupLoad> loads;
+  for (const auto& [group, task] : tasks_) {
+    const ServiceId& service = served_.at(group);
+    const auto demands = demands_.find(service);
+    if (demands == demands_.end() || !task->has_all_ranks() ||
+        (groups[service] < 2 && demands->second.priorities.size() < 2)) {
+      continue;
+    }
+    loads.push_back(task->LoadOf(service, demands->second.shortest_gap, now));
+  }
+  return loads;
+}
+
 bool GroupManager::HasIncompleteGroup() const {
   return std::any_of(tasks_.begin(), tasks_.end(), [](const auto& item) {
     return !item.second->has_all_ranks();
@@ -235,6 +256,7 @@
     read_version_ = accepted.version();
     if (const auto* whole = std::get_if<traffic::TrafficConfiguration>(&read)) {
       services_ = whole->services;
+      demands_ = traffic::DemandsByService(*whole);
     } else {
       log_.Error("Can't read the configuration.",
                  {{"version", accepted.version()}});
@@ -302,6 +324,7 @@
                                             {"term", term_.value()}});
   }
   task->SetAddress(RankIndex(place.rank), *endpoint, announcement.domain);
+  served_[place.group] = announcement.service;
 }
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/group_manager.h
+++ b/src/plugins/control_node/group_manager.h
@@ -66,6 +66,9 @@
   // Returns whether the node responded.
   bool PollPeer(const net::Endpoint& peer);
   const traffic::EngineModel* EngineOf(const ServiceId& service);
+  // Loads of the groups between which gateways choose, or whose room they share
+  // among requests of different urgency.
+  std::vector<group_loads::GroupLoad> CollectLoads(TimePoint now) const;
   bool KnowsEngine(const net::Endpoint& engine) const;
 
   net::NetworkLoop& loop_;
@@ -92,6 +95,9 @@
   LeadershipTerm leadership_term_;
   std::uint64_t read_version_ = 0;
   std::map<ServiceId, traffic::Service> services_;
+  std::map<ServiceId, traffic::ServiceDemands> demands_;
+  // The service of each task.
+  std::map<GroupId, ServiceId> served_;
   Term term_;
   TimePoint collect_due_;
 };
--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -72,7 +72,8 @@
       ranks_(ranks),
       log_("groups"),
       switch_(SwitchOptions(ranks, term), first_version, SteadyNow()),
-      loads_(LoadOptions(engine)) {}
+      loads_(LoadOptions(engine)),
+      room_(RoomOptions(engine, ranks)) {}
 
 placement::RecentLoadsOptions GroupTask::LoadOptions(
     const traffic::EngineModel& engine) {
@@ -82,6 +83,32 @@
   return options;
 }
 
+group_loads::RoomEstimatorOptions GroupTask::RoomOptions(
+    const traffic::EngineModel& engine,
+    std::uint32_t ranks) {
+  group_loads::RoomEstimatorOptions options;
+  options.slots = engine.slots * ranks;
+  options.fixed = engine.step * engine.tokens_per_event;
+  options.per_request =
+      engine.step_per_request * engine.tokens_per_event / std::max(ranks, 1U);
+  return options;
+}
+
+group_loads::GroupLoad GroupTask::LoadOf(const ServiceId& service,
+                                         Duration max_gap,
+                                         TimePoint now) const {
+  group_loads::GroupLoad load;
+  load.group = group_;
+  load.service = service;
+  load.is_open = is_open_;
+  load.room = room_.Room(max_gap, now);
+  load.by_rank.assign(ranks_, 0);
+  for (const auto& [rank, requests] : loads_at_) {
+    load.by_rank[rank.value()] = requests.running + requests.waiting;
+  }
+  return load;
+}
+
 void GroupTask::SetAddress(RankIndex rank,
                            const net::Endpoint& endpoint,
                            const FailureDomain& domain) {
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "libs/group_loads/group_load.h"
+#include "libs/group_loads/room_estimator.h"
 #include "libs/groups/rank_round.h"
 #include "libs/groups/silent_ranks.h"
 #include "libs/groups/step_switch.h"
@@ -77,6 +79,11 @@
   // time that they take as a multiple of a healthy rank's, and the ranks that
   // do not respond (kUnresponsivePace).
   void AddSlowTargets(std::map<std::string, double>& by_address) const;
+  // The present load, for gateways. `service` is the one that the group serves,
+  // `max_gap` the longest pause between events that its callers accept.
+  group_loads::GroupLoad LoadOf(const ServiceId& service,
+                                Duration max_gap,
+                                TimePoint now) const;
   // Statistics for metrics.
   GroupStats stats(TimePoint now) const;
 
@@ -86,6 +93,11 @@
   static constexpr std::size_t kMaxDirectCalls = 24;
   static placement::RecentLoadsOptions LoadOptions(
       const traffic::EngineModel& engine);
+  static group_loads::RoomEstimatorOptions RoomOptions(
+      const traffic::EngineModel& engine,
+      std::uint32_t ranks);
+  // Follows the passes of the group and whether it is open.
+  void TrackPasses(const groups::EngineReport& report);
   // group_task.cc
   void Spawn(std::function<void()> body);
   void Advance();
@@ -188,6 +200,12 @@
     std::uint32_t waiting = 0;
   };
   std::map<RankIndex, RankLoad> loads_at_;
+  group_loads::RoomEstimator room_;
+  // The newest epoch that a rank reported, its last pass, and whether the group
+  // is open in it.
+  groups::GroupEpoch newest_epoch_;
+  groups::StepNumber newest_pass_;
+  bool is_open_ = true;
   groups::StepNumber newest_step_;
   // When the state was last logged, and the step at that time.
   TimePoint state_logged_at_;
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -191,9 +191,28 @@
   silence_.OnResponse(rank, SteadyNow());
   loads_at_[rank] = {report.running, report.waiting};
   newest_step_ = report.step;
+  TrackPasses(report);
   switch_.OnReport(rank, report, as_of, responded_at);
 }
 
+// Reports of different ranks arrive in any order.
+void GroupTask::TrackPasses(const groups::EngineReport& report) {
+  if (report.epoch < newest_epoch_) {
+    return;
+  }
+  if (report.epoch > newest_epoch_) {
+    newest_epoch_ = report.epoch;
+    newest_pass_ = report.step;
+  }
+  is_open_ = report.is_open;
+  newest_pass_ = std::max(newest_pass_, report.step);
+  std::uint32_t running = 0;
+  for (const auto& [rank, load] : loads_at_) {
+    running += load.running;
+  }
+  room_.OnPass(newest_pass_.value(), running, SteadyNow());
+}
+
 void GroupTask::AddSlowTargets(
     std::map<std::string, double>& by_address) const {
   const groups::BatchTimes times{engine_.slots, engine_.step,
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -40,7 +40,8 @@
            query->quarantine_revision < node_.quarantine().urgent_revision() ||
            (!query->requester.empty() &&
             (query->limits_revision != node_.limits().published_revision() ||
-             query->evacuation_revision != node_.evacuations().revision()));
+             query->evacuation_revision != node_.evacuations().revision() ||
+             query->group_loads_revision != node_.group_loads().revision()));
   };
   const auto has_update = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -84,6 +85,11 @@
   answer.gateways = CountGateways(SteadyNow());
   answer.sharers = census_.CountSharers(answer.is_leader, SteadyNow());
   answer.evacuations = node_.evacuations().state();
+  answer.group_loads_revision = node_.group_loads().revision();
+  if (!query->requester.empty() &&
+      query->group_loads_revision != answer.group_loads_revision) {
+    answer.group_loads = node_.group_loads().published();
+  }
   answer.version = node_.configuration().version();
   answer.bytes = node_.configuration().text().value.size();
   if (query->wants_configuration && answer.version > query->version) {
@@ -119,6 +125,7 @@
   for (const auto& [name, last_request_at] : gateways_) {
     names.push_back(name);
   }
+  node_.group_loads().SetReaders(names.size());
   node_.limits().SetGateways(std::move(names), SteadyNow());
 }
 
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -207,6 +207,7 @@
   query.quarantine_revision = node.quarantine_revision;
   query.limits_revision = node.limits_revision;
   query.evacuation_revision = node.evacuation_revision;
+  query.group_loads_revision = node.group_loads_revision;
   query.limits = state_.targets.limits().Statements(SteadyNow());
   // While another fiber fetches the configuration, this fiber queries again
   // soon in case that fetch fails.
@@ -250,6 +251,7 @@
   node.quarantine_revision = answer.quarantine_revision;
   node.limits_revision = answer.limits_revision;
   node.evacuation_revision = answer.evacuations.revision;
+  node.group_loads_revision = answer.group_loads_revision;
   node.last_response_at = now;
   if (answer.quarantine.has_value()) {
     state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine,
@@ -266,6 +268,10 @@
   state_.targets.Update(node.endpoint.ToString(), answer.is_whole, targets,
                         now);
   state_.targets.SetSlow(node.endpoint.ToString(), answer.slow_targets);
+  if (answer.group_loads.has_value()) {
+    state_.targets.SetGroupLoads(node.endpoint.ToString(), *answer.group_loads,
+                                 now);
+  }
   state_.update_signal.NotifyAll();
   if (answer.is_leader && answer.version > 0) {
     has_leader_responded_ = true;
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -68,6 +68,7 @@
     std::uint64_t quarantine_revision = 0;
     std::uint64_t limits_revision = 0;
     std::uint64_t evacuation_revision = 0;
+    std::uint64_t group_loads_revision = 0;
     bool is_reachable = false;
     TimePoint last_response_at;
   };
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -325,6 +325,9 @@
     send_log_ += " not_executed";
     if (const auto at_fault = head.headers.Find(header_names.at_fault)) {
       send_log_ += " at=" + std::string(*at_fault);
+      if (!is_replaced && *at_fault != choice.target.value()) {
+        state_.targets.OnGroupRefused(choice.target, now);
+      }
     }
     return NotServed{SendResult::kNotExecuted, "target refused"};
   }
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -52,6 +52,8 @@
   record.verdict = quarantine::Verdict::kRefused;
   answer.quarantine = {record};
   answer.limits_revision = 15;
+  answer.group_loads_revision = 8;
+  answer.group_loads = {{GroupId("g1"), ServiceId("model"), true, 20, {0, 12}}};
   answer.evacuations = {4, {FailureDomain("z1"), FailureDomain("z2")}};
   answer.shares = {{{TargetId("t"), Incarnation(3)}, 5.0, 0.5}};
   answer.configuration = packing::PackedText{"{\"version\":7}"};
@@ -69,6 +71,7 @@
   query.slow_revision = 4;
   query.quarantine_revision = 5;
   query.limits_revision = 6;
+  query.group_loads_revision = 9;
   query.evacuation_revision = 3;
   query.limits = {{{TargetId("t"), Incarnation(3)}, 5.0, Milliseconds(7)}};
   query.wait = Milliseconds(900);
@@ -84,6 +87,7 @@
   CHECK(asked->slow_revision == 4);
   CHECK(asked->quarantine_revision == 5);
   CHECK(asked->limits_revision == 6);
+  CHECK(asked->group_loads_revision == 9);
   CHECK(asked->evacuation_revision == 3);
   REQUIRE(asked->limits.size() == 1);
   CHECK(asked->limits[0].run == query.limits[0].run);
@@ -117,6 +121,8 @@
   CHECK(answered->quarantine->front().request ==
         quarantine::RequestFingerprint{1, 2});
   CHECK(answered->limits_revision == 15);
+  CHECK(answered->group_loads_revision == 8);
+  CHECK(answered->group_loads == MakeAnswer().group_loads);
   CHECK(answered->evacuations == MakeAnswer().evacuations);
   REQUIRE(answered->shares.has_value());
   REQUIRE(answered->shares->size() == 1);
@@ -141,8 +147,8 @@
 TEST_CASE("a response that lacks a required member is rejected") {
   const json::object whole = ToJson(MakeAnswer()).as_object();
   // Members that are only sent if they have changed.
-  const std::set<std::string> optional = {"configuration", "quarantine",
-                                          "shares"};
+  const std::set<std::string> optional = {"configuration", "group_loads",
+                                          "quarantine", "shares"};
   for (const auto& member : whole) {
     CAPTURE(std::string(member.key()));
     json::object broken = whole;
@@ -150,7 +156,7 @@
     const bool is_optional = optional.count(std::string(member.key())) > 0;
     CHECK(WatchAnswerFromJson(broken).has_value() == is_optional);
   }
-  for (const char* list : {"quarantine", "shares"}) {
+  for (const char* list : {"group_loads", "quarantine", "shares"}) {
     CAPTURE(std::string(list));
     json::object broken = whole;
     broken[list] = 1;
