Less urgent requests are thinned out when the room of a service is scarce

The priority went to the engine and decided nothing in a gateway.

From 0.8 of the room on, gateways let pass a smaller share of the least urgent class, down to a quarter, then of the next one; the most urgent always pass. All gateways hear the same load, so each one's share is that of all. Takes effect where the routes of a service have more than one priority and its load is known.

--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "libs/traffic/header_names.h"
 #include "libs/traffic/route_table.h"
 #include "libs/traffic/target_pool.h"
+#include "libs/urgency/urgency_gate.h"
 #include "plugins/gateway/limit_grants.h"
 #include "plugins/gateway/quarantine_guard.h"
 #include "plugins/gateway/request_stats.h"
@@ -63,6 +64,7 @@
   std::shared_ptr<const traffic::RouteTable> routes;
   traffic::TargetPool targets;
   LimitGrants grants;
+  urgency::UrgencyGate urgency{urgency::UrgencyGateOptions{}};
   net::HttpClient client;
   TerminationDetector termination_detector;
   QuarantineGuard quarantine;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -96,6 +96,9 @@
       Finish("caller_left", "while the group was forming");
       return;
     }
+    if (sends_ == 0 && !PassUrgencyGate()) {
+      return;
+    }
     if (!AwaitRunPermission()) {
       return;
     }
@@ -157,6 +160,27 @@
   return !caller_disconnected_;
 }
 
+// Urgent requests come first when the room of the service is scarce.
+bool RelayCall::PassUrgencyGate() {
+  const auto& priorities = routes_->PrioritiesOf(service_);
+  const auto load = state_.targets.LoadFractionOf(service_, SteadyNow());
+  if (state_.urgency.MayPass(service_, match_.priority, priorities, load)) {
+    return true;
+  }
+  state_.metrics
+      .CounterFor({"bilberryspool_less_urgent_refused_total",
+                   "Requests refused to keep room for more urgent ones"},
+                  {{"service", service_.value()},
+                   {"priority", std::to_string(match_.priority)}})
+      .Add();
+  constexpr double kPercent = 100.0;
+  Refuse(RetryAfter(),
+         "room is kept for more urgent requests, load " +
+             std::to_string(static_cast<int>(kPercent * load.value_or(0.0))) +
+             " percent");
+  return false;
+}
+
 RelayStep RelayCall::StepAfter(const NotServed& failed) {
   traffic::RelayState relay;
   relay.may_repeat = match_.route->may_repeat();
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -60,6 +60,9 @@
   // Waits while the group of the service is forming. Returns false if the
   // caller has disconnected.
   bool AwaitGroup();
+  // Whether the request is urgent enough for the load of its service. Refuses
+  // it otherwise.
+  bool PassUrgencyGate();
   // The next step after a failed send.
   traffic::RelayStep StepAfter(const NotServed& failed);
   SendOutcome SendTo(const traffic::Choice& choice);
