Cold targets get what they tolerate, as a sum over all gateways

Nothing read that a target is cold.

What a target tolerates is divided into places with one owner each, over a roster of gateways that the control nodes' log holds; a gateway sends one request for each of its places in 1.5 s, and asks nobody. Targets that are known to be warm may get more when no other has room. Groups in evacuated domains, and ranks that leave, no longer count as room of their service.

--- a/src/libs/group_loads/group_load_view.cc
+++ b/src/libs/group_loads/group_load_view.cc
@@ -42,12 +42,17 @@
   }
 }
 
+double GroupLoadView::RoomOf(const Group& group) const {
+  const auto share = usable_shares_.find(group.load.group);
+  return share == usable_shares_.end() ? 0.0 : share->second * group.load.room;
+}
+
 bool GroupLoadView::IsFresh(const Group& group, TimePoint now) const {
   return now - group.received_at <= options_.freshness;
 }
 
 bool GroupLoadView::MayChoose(const Group& group, TimePoint now) const {
-  return IsFresh(group, now) && group.load.is_open &&
+  return IsFresh(group, now) && group.load.is_open && RoomOf(group) > 0.0 &&
          now >= group.refused_until;
 }
 
@@ -59,7 +64,7 @@
     if (group.load.service == service && MayChoose(group, now)) {
       const double known = group.load.requests() + group.sent;
       requests += std::max(0.0, known + group.trend * group.load.room);
-      room += group.load.room;
+      room += RoomOf(group);
     }
   }
   return room > 0.0 ? std::optional<double>(requests / room) : std::nullopt;
@@ -91,7 +96,7 @@
     if (group.load.service != service || !MayChoose(group, now)) {
       continue;
     }
-    const double room = group.load.room;
+    const double room = RoomOf(group);
     const double used = group.load.requests() + group.sent;
     const double weight = std::max((1.0 + options_.extra_room) * room - used,
                                    options_.min_weight * room);
--- a/src/libs/group_loads/group_load_view.h
+++ b/src/libs/group_loads/group_load_view.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libs/base/time.h"
@@ -47,6 +48,12 @@
   void OnReported(const std::string& source,
                   const std::vector<GroupLoad>& loads,
                   TimePoint now);
+  // Sets which part of the ranks of each group may get requests: those in
+  // evacuated failure domains and those that leave may not. A group that is not
+  // named has none.
+  void SetUsableShares(std::map<GroupId, double> shares) {
+    usable_shares_ = std::move(shares);
+  }
   // A target refused a request because another rank of its group is missing.
   void OnGroupRefused(const GroupId& group, TimePoint now);
   // This gateway has sent a request to a rank of the group.
@@ -78,11 +85,14 @@
     TimePoint refused_until;
   };
 
+  // The room for requests of this gateway's choice.
+  double RoomOf(const Group& group) const;
   bool IsFresh(const Group& group, TimePoint now) const;
   bool MayChoose(const Group& group, TimePoint now) const;
 
   GroupLoadViewOptions options_;
   std::map<GroupId, Group> groups_;
+  std::map<GroupId, double> usable_shares_;
 };
 
 }  // namespace bilberryspool::group_loads
--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -124,6 +124,10 @@
   return DefaultValue{number};
 }
 
+DefaultValue Number(double number) {
+  return DefaultValue{number};
+}
+
 DefaultValue Text(const char* text) {
   return DefaultValue{std::string(text)};
 }
@@ -347,6 +351,15 @@
   specs.push_back({"retries.window_s", scope, NumberKind{0.001, 3600.0},
                    Required{}, "Length of the window that both count in.",
                    InGateway([](S & s) -> auto& { return s.retries.window; })});
+  specs.push_back(
+      {"cold_targets.overage", scope, NumberKind{0.0, 1000.0}, Number(1.0),
+       "Part of the rate that a service declares for its cold targets that all "
+       "gateways together may send to one of them.",
+       InGateway([](S & s) -> auto& { return s.cold_targets.overage; })});
+  specs.push_back(
+      {"cold_targets.slack", scope, NumberKind{0.0, 1e6}, Number(0.0),
+       "Requests per second that they may send in addition.",
+       InGateway([](S & s) -> auto& { return s.cold_targets.slack; })});
 }
 
 void AddControlKeys(Specs& specs) {
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -122,6 +122,13 @@
   Duration window{};
 };
 
+// What all gateways together may send to a cold target beyond the rate that its
+// service declares.
+struct ColdTargetLimits {
+  double overage = 1.0;  // part of the declared rate
+  double slack = 0.0;    // requests per second in addition
+};
+
 // Settings of a gateway: an entry without agents, which calls the targets
 // directly and stores nothing on disk.
 struct GatewaySettings {
@@ -135,6 +142,7 @@
   std::uint64_t max_open_connections = 0;
   Duration drain_grace{};
   RetryLimits retries;
+  ColdTargetLimits cold_targets;
 };
 
 // Settings of a control replica that serves no callers.
--- a/src/libs/traffic/target_announcement.h
+++ b/src/libs/traffic/target_announcement.h
@@ -49,6 +49,9 @@
   // announcements are recognized.
   std::uint64_t sequence = 0;
   std::optional<GroupMembership> group;
+  // The target has just started, or has lost what it had in memory, and
+  // tolerates few requests per second.
+  bool is_cold = false;
 
   TargetRun run() const { return {target, incarnation}; }
 
--- a/src/libs/traffic/target_codec.cc
+++ b/src/libs/traffic/target_codec.cc
@@ -49,6 +49,9 @@
       {"sequence", target.sequence},
       {"silent", record.is_silent},
   };
+  if (target.is_cold) {
+    object["cold"] = true;
+  }
   if (target.group.has_value()) {
     object["group"] = {
         {"name", target.group->group.value()}, {"epoch", target.group->epoch},
@@ -92,6 +95,7 @@
                          *sequence,
                          std::nullopt};
   record.is_silent = *is_silent;
+  record.announcement.is_cold = Flag(*object, "cold").value_or(false);
   if (const json::value* group = object->if_contains("group")) {
     record.announcement.group = GroupFromJson(*group);
     if (!record.announcement.group.has_value()) {
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -22,12 +22,15 @@
 }
 
 TargetPool::TargetPool(TargetPoolOptions options, std::uint64_t seed)
-    : options_(std::move(options)), random_(seed) {}
+    : options_(std::move(options)),
+      random_(seed),
+      cold_starts_(options_.cold_starts, options_.started_at) {}
 
 void TargetPool::Update(const std::string& source,
                         bool is_whole,
                         const std::vector<TargetRecord>& records,
                         TimePoint now) {
+  updated_at_ = now;
   if (is_whole) {
     for (auto& [id, target] : targets_) {
       target.reported_by.erase(source);
@@ -37,6 +40,28 @@
     Merge(source, record, now);
   }
   RemoveExpired(now);
+  UpdateUsableShares();
+}
+
+bool TargetPool::SetEvacuated(const evacuation::EvacuationState& reported) {
+  const bool is_changed = evacuations_.OnReported(reported);
+  if (is_changed) {
+    UpdateUsableShares();
+  }
+  return is_changed;
+}
+
+void TargetPool::UpdateUsableShares() {
+  std::map<GroupId, double> shares;
+  for (const auto& [id, target] : targets_) {
+    const auto& place = target.announcement.group;
+    if (place.has_value() && place->size > 0 && IsReady(target) &&
+        !target.is_silent()) {
+      double& share = shares[place->group];
+      share = std::min(1.0, share + 1.0 / place->size);
+    }
+  }
+  group_loads_.SetUsableShares(std::move(shares));
 }
 
 void TargetPool::Merge(const std::string& source,
@@ -97,6 +122,33 @@
          !evacuations_.IsEvacuated(target.announcement.domain);
 }
 
+bool TargetPool::MayBeCold(const Target& target, TimePoint now) const {
+  return target.announcement.is_cold || target.is_silent() ||
+         now - updated_at_ > options_.warmth_freshness;
+}
+
+std::optional<Duration> TargetPool::TimeUntilColdStart(const ServiceId& service,
+                                                       TimePoint now) const {
+  std::optional<Duration> soonest;
+  for (const auto& [id, target] : targets_) {
+    if (target.announcement.service != service || !IsReady(target)) {
+      continue;
+    }
+    const auto wait = cold_starts_.WaitFor(service, id, now);
+    if (wait.has_value()) {
+      soonest = std::min(soonest.value_or(*wait), *wait);
+    }
+  }
+  return soonest;
+}
+
+std::size_t TargetPool::CountCold() const {
+  return static_cast<std::size_t>(
+      std::count_if(targets_.begin(), targets_.end(), [&](const auto& item) {
+        return item.second.announcement.is_cold && IsReady(item.second);
+      }));
+}
+
 bool TargetPool::IsWithinLimit(const Target& target, TimePoint now) const {
   return limits_.size() == 0 || limits_.MayTake(target.announcement.run(), now);
 }
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "libs/base/random.h"
+#include "libs/cold_targets/cold_start_limiter.h"
 #include "libs/declared_limits/limit_accounts.h"
 #include "libs/evacuation/evacuation_view.h"
 #include "libs/group_loads/group_load_view.h"
@@ -50,6 +51,12 @@
   // Maximum number of requests at a target, as a multiple of its slots. If all
   // targets have reached it, requests are refused at once.
   double max_load_factor = 1.25;
+  cold_targets::ColdStartLimiterOptions cold_starts;
+  // Start of the process.
+  TimePoint started_at;
+  // A target is known to be warm while control nodes have reported within this
+  // time and its announcements say so.
+  Duration warmth_freshness = Seconds(3);
   // How long records of targets that left are kept: a control node that was
   // disconnected may still report them.
   Duration retention = Seconds(120);
@@ -78,6 +85,7 @@
   kNone,        // no target of the service is known
   kEvacuated,   // all known targets are in evacuated failure domains
   kFull,        // all targets have the maximum number of requests
+  kCold,        // all remaining targets may be cold and have had their share
   kPaused,      // all remaining targets have asked for a pause
   kInCooldown,  // all remaining targets failed recently
 };
@@ -104,9 +112,7 @@
 
   // Records the evacuated failure domains that a control node reports. Their
   // targets get no requests. Returns whether they have changed.
-  bool SetEvacuated(const evacuation::EvacuationState& reported) {
-    return evacuations_.OnReported(reported);
-  }
+  bool SetEvacuated(const evacuation::EvacuationState& reported);
   const evacuation::EvacuationState& evacuations() const {
     return evacuations_.state();
   }
@@ -180,6 +186,18 @@
     return availability_.forming_until(service);
   }
 
+  // What may be sent to targets that may be cold.
+  cold_targets::ColdStartLimiter& cold_starts() { return cold_starts_; }
+  const cold_targets::ColdStartLimiter& cold_starts() const {
+    return cold_starts_;
+  }
+  // Time until a ready target of `service` takes one more request from this
+  // gateway although it may be cold; nothing if none will.
+  std::optional<Duration> TimeUntilColdStart(const ServiceId& service,
+                                             TimePoint now) const;
+  // Number of ready targets that are cold, as they announce.
+  std::size_t CountCold() const;
+
   // Accounts of the targets that declare a limit.
   declared_limits::LimitAccounts& limits() { return limits_; }
   const declared_limits::LimitAccounts& limits() const { return limits_; }
@@ -253,6 +271,8 @@
   // Whether the target announces that it accepts requests, in a failure domain
   // that is not evacuated.
   bool IsReady(const Target& target) const;
+  // Whether the target is cold, or has not said otherwise for a while.
+  bool MayBeCold(const Target& target, TimePoint now) const;
   bool IsPaused(const Target& target, TimePoint now) const {
     return pauses_.IsPaused(target.announcement.target,
                             target.announcement.incarnation, now);
@@ -266,6 +286,7 @@
     bool is_any_evacuated = false;
     bool is_any_full = false;
     bool is_any_paused = false;
+    bool is_any_cold = false;
   };
   // Why none of the known targets is chosen.
   static NoChoice ReasonOf(const Candidate& none);
@@ -288,6 +309,8 @@
   // their load says nothing about it.
   double MinLoadOf(const Target& target, double load, TimePoint now) const;
   double CostOf(const Target& target, double load, TimePoint now);
+  // Recomputes which part of each group may get requests.
+  void UpdateUsableShares();
   // The group that a request of `service` should go to; nothing if the service
   // has no group or one only.
   std::optional<GroupId> ChooseGroup(const ServiceId& service, TimePoint now);
@@ -304,6 +327,9 @@
   declared_limits::LimitAccounts limits_{
       declared_limits::LimitAccountsOptions{}};
   TargetPauses pauses_;
+  cold_targets::ColdStartLimiter cold_starts_;
+  // When a control node last reported.
+  TimePoint updated_at_;
   evacuation::EvacuationView evacuations_;
   group_loads::GroupLoadView group_loads_{group_loads::GroupLoadViewOptions{}};
   std::map<std::string, std::map<std::string, double>> slow_;  // by source
--- a/src/libs/traffic/target_pool_choice.cc
+++ b/src/libs/traffic/target_pool_choice.cc
@@ -26,6 +26,9 @@
 // Targets of other groups come after those of the chosen one, unless these are
 // full, and before suspect ones.
 constexpr double kOtherGroupCost = 2.0;
+// A target that is known to be warm may turn cold before the news arrives, so
+// others come first if this gateway has no place there.
+constexpr double kNoColdPlaceCost = 3.0;
 // Spread of the choice among the ranks of a group, as a share of their slots:
 // all gateways hear of the same loads at the same time, and the rank with the
 // lowest load would get the requests of all until the next report.
@@ -211,6 +214,9 @@
   if (none.is_any_full) {
     return NoChoice::kFull;
   }
+  if (none.is_any_cold) {
+    return NoChoice::kCold;
+  }
   return none.is_any_paused ? NoChoice::kPaused : NoChoice::kInCooldown;
 }
 
@@ -248,9 +254,16 @@
       best.is_any_full = true;
       continue;
     }
+    const bool has_cold_place = !cold_starts_.IsLimited(service) ||
+                                cold_starts_.MayTake(service, id, now);
+    if (!has_cold_place && MayBeCold(target, now)) {
+      best.is_any_cold = true;
+      continue;
+    }
     const double cost =
         CostOf(target, load, now) +
-        (group.has_value() ? GroupCostOf(target, *group, now) : 0.0);
+        (group.has_value() ? GroupCostOf(target, *group, now) : 0.0) +
+        (has_cold_place ? 0.0 : kNoColdPlaceCost);
     if (best.target == nullptr || cost < best.cost) {
       best.target = &target;
       best.cost = cost;
@@ -281,6 +294,7 @@
   Target& chosen = *best.target;
   ++chosen.in_flight;
   limits_.Take(chosen.announcement.run(), now);
+  cold_starts_.Take(service, chosen.announcement.target, now);
   liveness_.OnSent(chosen.announcement.target, service, now);
   if (chosen.announcement.group.has_value()) {
     group_loads_.OnSent(chosen.announcement.group->group);
--- a/src/libs/traffic/traffic_configuration.cc
+++ b/src/libs/traffic/traffic_configuration.cc
@@ -55,6 +55,17 @@
   return by_service;
 }
 
+std::map<ServiceId, double> ColdStartRates(
+    const TrafficConfiguration& configuration) {
+  std::map<ServiceId, double> rates;
+  for (const auto& [id, service] : configuration.services) {
+    if (service.cold_start_rate > 0.0) {
+      rates[id] = service.cold_start_rate;
+    }
+  }
+  return rates;
+}
+
 std::optional<std::string> FindFault(
     const TrafficConfiguration& configuration) {
   if (configuration.version == 0) {
--- a/src/libs/traffic/traffic_configuration.h
+++ b/src/libs/traffic/traffic_configuration.h
@@ -83,6 +83,9 @@
   ServiceId id;
   std::string health_path;
   std::uint32_t max_connections = 0;
+  // Requests per second from all gateways that a target tolerates while it is
+  // cold; 0 if the service declares no limit.
+  double cold_start_rate = 0.0;
   std::optional<EngineModel> engine;
 
   bool operator==(const Service&) const = default;
@@ -126,6 +129,10 @@
 std::map<ServiceId, ServiceDemands> DemandsByService(
     const TrafficConfiguration& configuration);
 
+// The services that declare a limit for cold targets, in requests per second.
+std::map<ServiceId, double> ColdStartRates(
+    const TrafficConfiguration& configuration);
+
 // Describes what is wrong with a configuration as a whole, in one sentence;
 // nothing if it is valid. A configuration in force has passed this check.
 std::optional<std::string> FindFault(const TrafficConfiguration& configuration);
--- a/src/libs/traffic/watch_codec.cc
+++ b/src/libs/traffic/watch_codec.cc
@@ -19,6 +19,21 @@
 
 namespace {
 
+std::optional<cold_targets::GatewaySeat> SeatFromJson(
+    const json::value& value) {
+  const json::object* object = value.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto index = Number(*object, "index");
+  const auto count = Number(*object, "count");
+  const auto is_confirmed = Flag(*object, "confirmed");
+  if (!index || !count || *index >= *count || !is_confirmed) {
+    return std::nullopt;
+  }
+  return cold_targets::GatewaySeat{*index, *count, *is_confirmed};
+}
+
 std::optional<evacuation::EvacuationState> EvacuationsFromJson(
     const json::object& object) {
   const auto revision = Number(object, "evacuation_revision");
@@ -51,6 +66,10 @@
                       {"limits_revision", query.limits_revision},
                       {"evacuation_revision", query.evacuation_revision},
                       {"group_loads_revision", query.group_loads_revision},
+                      {"wants_seat", query.wants_seat},
+                      {"seat_count", query.seat_count},
+                      {"seat_confirmed", query.is_seat_confirmed},
+                      {"known_seat_count", query.known_seat_count},
                       {"limits", declared_limits::ToJson(query.limits)},
                       {"wants_configuration", query.wants_configuration},
                       {"wait_us", query.wait.count()}};
@@ -93,6 +112,11 @@
   if (answer.shares.has_value()) {
     object["shares"] = declared_limits::ToJson(*answer.shares);
   }
+  if (answer.seat.has_value()) {
+    object["seat"] = {{"index", answer.seat->index},
+                      {"count", answer.seat->count},
+                      {"confirmed", answer.seat->is_confirmed}};
+  }
   if (answer.group_loads.has_value()) {
     object["group_loads"] = group_loads::ToJson(*answer.group_loads);
   }
@@ -118,6 +142,10 @@
   const auto limits_revision = Number(*object, "limits_revision");
   const auto evacuation_revision = Number(*object, "evacuation_revision");
   const auto group_loads_revision = Number(*object, "group_loads_revision");
+  const auto wants_seat = Flag(*object, "wants_seat");
+  const auto seat_count = Number(*object, "seat_count");
+  const auto is_seat_confirmed = Flag(*object, "seat_confirmed");
+  const auto known_seat_count = Number(*object, "known_seat_count");
   const json::value* limits = object->if_contains("limits");
   auto statements = limits == nullptr
                         ? std::nullopt
@@ -127,6 +155,7 @@
   if (!requester || !control_address || !boot || !revision || !version ||
       !was_leader || !slow_revision || !quarantine_revision ||
       !limits_revision || !evacuation_revision || !group_loads_revision ||
+      !wants_seat || !seat_count || !known_seat_count || !is_seat_confirmed ||
       !statements || !wants_configuration || !wait) {
     return std::nullopt;
   }
@@ -142,6 +171,10 @@
   query.limits_revision = *limits_revision;
   query.evacuation_revision = *evacuation_revision;
   query.group_loads_revision = *group_loads_revision;
+  query.wants_seat = *wants_seat;
+  query.seat_count = *seat_count;
+  query.is_seat_confirmed = *is_seat_confirmed;
+  query.known_seat_count = *known_seat_count;
   query.limits = std::move(*statements);
   query.wants_configuration = *wants_configuration;
   query.wait = Microseconds(static_cast<std::int64_t>(*wait));
@@ -202,6 +235,12 @@
   answer.gateways = *gateways;
   answer.sharers = *sharers;
   answer.evacuations = std::move(*evacuations);
+  if (const json::value* seat = object->if_contains("seat")) {
+    answer.seat = SeatFromJson(*seat);
+    if (!answer.seat.has_value()) {
+      return std::nullopt;
+    }
+  }
   answer.group_loads_revision = *group_loads_revision;
   if (const json::value* loads = object->if_contains("group_loads")) {
     answer.group_loads = group_loads::LoadsFromJson(*loads);
--- a/src/libs/traffic/watch_codec.h
+++ b/src/libs/traffic/watch_codec.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/base/time.h"
+#include "libs/cold_targets/gateway_seat.h"
 #include "libs/declared_limits/declared_limit.h"
 #include "libs/evacuation/evacuation_state.h"
 #include "libs/group_loads/group_load.h"
@@ -40,6 +41,13 @@
   std::uint64_t limits_revision = 0;
   std::uint64_t evacuation_revision = 0;
   std::uint64_t group_loads_revision = 0;
+  // Whether the gateway needs a seat; the number of gateways of the seat that
+  // the node reported last, and whether that was confirmed; and the number of
+  // the seat that the gateway uses. 0 without a seat.
+  bool wants_seat = false;
+  std::uint64_t seat_count = 0;
+  bool is_seat_confirmed = false;
+  std::uint64_t known_seat_count = 0;
   // Limits that targets recently declared to the gateway.
   std::vector<declared_limits::LimitStatement> limits;
   // Whether the response should include a newer configuration or only its
@@ -86,6 +94,8 @@
   // The failure domains whose targets get no requests, as far as the node
   // knows.
   evacuation::EvacuationState evacuations;
+  // The seat of the requester. Only set if it wants one and the node knows it.
+  std::optional<cold_targets::GatewaySeat> seat;
   std::uint64_t group_loads_revision = 0;
   // The loads of the groups that the node leads. Only set if the requester's
   // revision differs.
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -74,6 +74,7 @@
       read_configuration_(std::move(read_configuration)),
       log_("control"),
       targets_(MakeRegistryOptions(settings)),
+      confirmations_(SteadyNow()),
       boot_(std::random_device()()),
       replica_(loop, client_, common, settings, MakeHooks()) {}
 
@@ -92,6 +93,12 @@
         LogEvacuations();
         changed_.NotifyAll();
         return;
+      case ReplicatedState::Change::kRoster:
+        log_.Info("The roster of gateways changed.",
+                  {{"gateways", roster().size()},
+                   {"confirmed", roster().confirmed()}});
+        changed_.NotifyAll();
+        return;
       case ReplicatedState::Change::kRefusals:
         quarantine_.OnLogRecords(state_.refusals(), SteadyNow());
         return;
@@ -138,6 +145,7 @@
     loop_.SleepFor(kTickInterval);
     quarantine_.Tick(SteadyNow());
     SaveRefusals(SteadyNow());
+    SaveRoster();
     limits_.Tick(SteadyNow());
     if (targets_.Tick(SteadyNow())) {
       log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
@@ -167,6 +175,41 @@
   });
 }
 
+void ControlNode::NoteGateway(const std::string& name,
+                              std::uint64_t known_count) {
+  confirmations_.OnQuery(name, known_count, SteadyNow());
+  if (!roster().Contains(name)) {
+    new_gateways_.insert(name);
+  }
+}
+
+void ControlNode::SaveRoster() {
+  std::erase_if(new_gateways_, [this](const std::string& name) {
+    return roster().Contains(name);
+  });
+  control::ReplicaDriver* driver = replica_.driver();
+  if (is_saving_roster_ || driver == nullptr || !replica_.is_leader()) {
+    return;
+  }
+  cold_targets::GatewayRoster::Change change;
+  change.names.assign(new_gateways_.begin(), new_gateways_.end());
+  change.confirmed = confirmations_.CountConfirmed(roster(), SteadyNow());
+  if (change.names.empty() && change.confirmed <= roster().confirmed()) {
+    return;
+  }
+  is_saving_roster_ = true;
+  loop_.Spawn([this, driver, change] {
+    const auto result =
+        driver->Propose(ReplicatedState::ProposeRoster(change), kSubmitTimeout);
+    if (!result.has_value()) {
+      log_.Warn(
+          "The roster of gateways could not be saved in time.",
+          {{"new", change.names.size()}, {"confirmed", change.confirmed}});
+    }
+    is_saving_roster_ = false;
+  });
+}
+
 SubmitOutcome ControlNode::Submit(const std::string& text) {
   const auto read = read_configuration_(text);
   if (const auto* reason = std::get_if<std::string>(&read)) {
@@ -326,6 +369,7 @@
              {"address", announcement.address},
              {"standing", StandingName(announcement.standing)},
              {"group", GroupText(announcement.group)},
+             {"cold", announcement.is_cold ? "yes" : "no"},
              {"incarnation", announcement.incarnation.value()},
              {"sequence", announcement.sequence}});
   changed_.NotifyAll();
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -9,10 +9,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "libs/cold_targets/seat_confirmations.h"
 #include "libs/config/numbered_configuration.h"
 #include "libs/evacuation/evacuation_registry.h"
 #include "libs/group_loads/group_load_publisher.h"
@@ -126,6 +128,10 @@
   const evacuation::EvacuationRegistry& evacuations() const {
     return state_.evacuations();
   }
+  // Records a gateway that needs a seat in the roster and knows one of
+  // `known_count` gateways; 0 if it knows none.
+  void NoteGateway(const std::string& name, std::uint64_t known_count);
+  const cold_targets::GatewayRoster& roster() const { return state_.roster(); }
   const traffic::TargetRegistry& targets() const { return targets_; }
   QuarantineManager& quarantine() { return quarantine_; }
   LimitManager& limits() { return limits_; }
@@ -175,6 +181,9 @@
   void NotifyPeers(const std::string& method, const Json& params);
   void LogSlowTargets(const std::map<std::string, double>& by_address);
   void Tick();
+  // Proposes changes of the roster to the log: new gateways, and those that all
+  // others have heard of.
+  void SaveRoster();
   // Proposes the refused requests to the log if the log does not have them yet.
   void SaveRefusals(TimePoint now);
 
@@ -190,6 +199,9 @@
   group_loads::GroupLoadPublisher group_loads_{
       group_loads::GroupLoadPublisherOptions{}};
   bool is_saving_ = false;
+  std::set<std::string> new_gateways_;
+  bool is_saving_roster_ = false;
+  cold_targets::SeatConfirmations confirmations_;
   std::map<net::Endpoint, TimePoint> node_last_seen_at_;
   // Number of announcements that could not be parsed.
   std::uint64_t unreadable_announcements_ = 0;
--- a/src/plugins/control_node/replicated_state.cc
+++ b/src/plugins/control_node/replicated_state.cc
@@ -13,9 +13,11 @@
 // Not numbers, unlike the start of a configuration command.
 constexpr std::string_view kRefusals = "refusals\n";
 constexpr std::string_view kEvacuation = "evacuation\n";
+constexpr std::string_view kRoster = "roster\n";
 // Separate the parts of a snapshot, which contain no line breaks.
 constexpr std::string_view kRefusalsSeparator = "\nrefusals\n";
 constexpr std::string_view kEvacuationsSeparator = "\nevacuations\n";
+constexpr std::string_view kRosterSeparator = "\nroster\n";
 
 // Removes the part after the last `separator` from `bytes` and returns it; an
 // empty part if there is none.
@@ -44,6 +46,11 @@
          evacuation::EvacuationRegistry::Encode(change);
 }
 
+std::string ReplicatedState::ProposeRoster(
+    const cold_targets::GatewayRoster::Change& change) {
+  return std::string(kRoster) + cold_targets::GatewayRoster::Encode(change);
+}
+
 ReplicatedState::Change ReplicatedState::Apply(std::string_view command) {
   if (command.starts_with(kRefusals)) {
     refusals_ = std::string(command.substr(kRefusals.size()));
@@ -56,6 +63,10 @@
                ? Change::kEvacuations
                : Change::kNone;
   }
+  if (command.starts_with(kRoster)) {
+    return roster_.Apply(command.substr(kRoster.size())) ? Change::kRoster
+                                                         : Change::kNone;
+  }
   return configuration_.Apply(command) ? Change::kConfiguration : Change::kNone;
 }
 
@@ -69,10 +80,15 @@
     bytes += kEvacuationsSeparator;
     bytes += evacuations_.Export();
   }
+  if (roster_.size() > 0) {
+    bytes += kRosterSeparator;
+    bytes += roster_.Export();
+  }
   return bytes;
 }
 
 bool ReplicatedState::Import(std::string_view bytes) {
+  const std::string_view roster = TakePartAfter(kRosterSeparator, bytes);
   const std::string_view evacuations =
       TakePartAfter(kEvacuationsSeparator, bytes);
   const std::string_view refusals = TakePartAfter(kRefusalsSeparator, bytes);
@@ -83,6 +99,8 @@
   }
   refusals_ = std::string(refusals);
   evacuations_ = std::move(read);
+  roster_ = cold_targets::GatewayRoster();
+  roster_.Apply(roster);
   return true;
 }
 
--- a/src/plugins/control_node/replicated_state.h
+++ b/src/plugins/control_node/replicated_state.h
@@ -1,6 +1,6 @@
 // The state that the control replicas' log determines: the configuration, the
-// evacuated failure domains, and the requests that are refused because they
-// terminated targets.
+// evacuated failure domains, the roster of gateways, and the requests that are
+// refused because they terminated targets.
 
 #ifndef PLUGINS_CONTROL_NODE_REPLICATED_STATE_H_
 #define PLUGINS_CONTROL_NODE_REPLICATED_STATE_H_
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "libs/cold_targets/gateway_roster.h"
 #include "libs/config/numbered_configuration.h"
 #include "libs/evacuation/evacuation_registry.h"
 #include "libs/quarantine/quarantine_record.h"
@@ -18,7 +19,7 @@
 // Deterministic: the same commands result in the same state on each replica.
 class ReplicatedState {
  public:
-  enum class Change { kNone, kConfiguration, kRefusals, kEvacuations };
+  enum class Change { kNone, kConfiguration, kRefusals, kEvacuations, kRoster };
 
   // Returns the command that replaces the refusals. Versions that don't know
   // this command ignore it.
@@ -29,6 +30,10 @@
   static std::string ProposeEvacuation(
       const evacuation::EvacuationChange& change);
 
+  // The same for the command that changes the roster of gateways.
+  static std::string ProposeRoster(
+      const cold_targets::GatewayRoster::Change& change);
+
   Change Apply(std::string_view command);
 
   // Serializes the state, and restores it. Import() returns false if the bytes
@@ -42,6 +47,7 @@
   const evacuation::EvacuationRegistry& evacuations() const {
     return evacuations_;
   }
+  const cold_targets::GatewayRoster& roster() const { return roster_; }
   // The refusals as they were proposed; empty if they can't be parsed.
   std::vector<quarantine::QuarantineRecord> refusals() const;
 
@@ -50,6 +56,7 @@
   // JSON without line breaks; empty before the first proposal.
   std::string refusals_;
   evacuation::EvacuationRegistry evacuations_;
+  cold_targets::GatewayRoster roster_;
 };
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -33,6 +33,12 @@
   }
   const bool knows_this_boot = query->boot == node_.boot();
   const std::uint64_t revision = knows_this_boot ? query->revision : 0;
+  const auto has_new_seat = [&] {
+    const auto seat = node_.roster().SeatOf(query->requester);
+    return query->wants_seat && seat.has_value() &&
+           (query->seat_count != seat->count ||
+            query->is_seat_confirmed != seat->is_confirmed);
+  };
   const auto is_urgent = [&] {
     return node_.configuration().version() > query->version ||
            query->was_leader != node_.replica().is_leader() ||
@@ -41,7 +47,8 @@
            (!query->requester.empty() &&
             (query->limits_revision != node_.limits().published_revision() ||
              query->evacuation_revision != node_.evacuations().revision() ||
-             query->group_loads_revision != node_.group_loads().revision()));
+             query->group_loads_revision != node_.group_loads().revision())) ||
+           has_new_seat();
   };
   const auto has_update = [&] {
     return !knows_this_boot || node_.targets().revision() > revision ||
@@ -85,6 +92,9 @@
   answer.gateways = CountGateways(SteadyNow());
   answer.sharers = census_.CountSharers(answer.is_leader, SteadyNow());
   answer.evacuations = node_.evacuations().state();
+  if (query->wants_seat) {
+    answer.seat = node_.roster().SeatOf(query->requester);
+  }
   answer.group_loads_revision = node_.group_loads().revision();
   if (!query->requester.empty() &&
       query->group_loads_revision != answer.group_loads_revision) {
@@ -105,6 +115,9 @@
     ShareLimits();
   }
   node_.limits().Note(query.requester, query.limits, now);
+  if (query.wants_seat) {
+    node_.NoteGateway(query.requester, query.known_seat_count);
+  }
 }
 
 std::size_t WatchService::CountGateways(TimePoint now) {
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -208,6 +208,11 @@
   query.limits_revision = node.limits_revision;
   query.evacuation_revision = node.evacuation_revision;
   query.group_loads_revision = node.group_loads_revision;
+  query.wants_seat = state_.targets.cold_starts().has_rates();
+  const auto& seat = state_.targets.cold_starts().seat();
+  query.known_seat_count = seat.has_value() ? seat->count : 0;
+  query.seat_count = node.seat_count;
+  query.is_seat_confirmed = node.is_seat_confirmed;
   query.limits = state_.targets.limits().Statements(SteadyNow());
   // While another fiber fetches the configuration, this fiber queries again
   // soon in case that fetch fails.
@@ -252,6 +257,11 @@
   node.limits_revision = answer.limits_revision;
   node.evacuation_revision = answer.evacuations.revision;
   node.group_loads_revision = answer.group_loads_revision;
+  if (answer.seat.has_value()) {
+    node.seat_count = answer.seat->count;
+    node.is_seat_confirmed = answer.seat->is_confirmed;
+    state_.targets.cold_starts().SetSeat(*answer.seat);
+  }
   node.last_response_at = now;
   if (answer.quarantine.has_value()) {
     state_.quarantine.Adopt(node.endpoint.ToString(), *answer.quarantine,
@@ -325,6 +335,8 @@
   state_.routes = std::make_shared<const traffic::RouteTable>(
       std::make_shared<const traffic::TrafficConfiguration>(
           std::move(*configuration)));
+  state_.targets.cold_starts().SetRates(
+      traffic::ColdStartRates(state_.routes->configuration()));
   log_.Info("Configuration in force.",
             {{"version", answer.version},
              {"routes", state_.routes->configuration().routes.size()}});
--- a/src/plugins/gateway/control_follower.h
+++ b/src/plugins/gateway/control_follower.h
@@ -69,6 +69,8 @@
     std::uint64_t limits_revision = 0;
     std::uint64_t evacuation_revision = 0;
     std::uint64_t group_loads_revision = 0;
+    std::uint64_t seat_count = 0;
+    bool is_seat_confirmed = false;
     bool is_reachable = false;
     TimePoint last_response_at;
   };
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -212,6 +212,17 @@
         .GaugeFor({"bilberryspool_paused_targets",
                    "Targets that have asked this gateway for a pause"})
         .Set(static_cast<double>(state_.targets.CountPaused(SteadyNow())));
+    state_.metrics
+        .GaugeFor({"bilberryspool_cold_targets",
+                   "Ready targets that announce that they are cold"})
+        .Set(static_cast<double>(state_.targets.CountCold()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_roster_gateways",
+                   "Gateways that share what cold targets tolerate"})
+        .Set(static_cast<double>(state_.targets.cold_starts()
+                                     .seat()
+                                     .value_or(cold_targets::GatewaySeat{})
+                                     .count));
     state_.metrics
         .GaugeFor({"bilberryspool_evacuated_failure_domains",
                    "Failure domains whose targets get no requests"})
@@ -241,6 +252,7 @@
       const TimePoint now = SteadyNow();
       state_.prober.Tick(now);
       state_.quarantine.Tick(now);
+      state_.targets.cold_starts().Tick(now);
       const std::vector<RelayCall*> active_calls(state_.active_calls.begin(),
                                                  state_.active_calls.end());
       for (RelayCall* call : active_calls) {
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -30,9 +30,14 @@
 }
 
 traffic::TargetPoolOptions MakePoolOptions(
-    const settings::CommonSettings& common) {
+    const settings::CommonSettings& common,
+    const settings::GatewaySettings& gateway,
+    TimePoint now) {
   traffic::TargetPoolOptions options;
   options.domain = common.failure_domain;
+  options.started_at = now;
+  options.cold_starts.overage = gateway.cold_targets.overage;
+  options.cold_starts.slack = gateway.cold_targets.slack;
   return options;
 }
 
@@ -47,7 +52,7 @@
     : started_at(now),
       header_names(std::move(names)),
       retries(gateway.retries),
-      targets(MakePoolOptions(common), seed),
+      targets(MakePoolOptions(common, gateway, now), seed),
       grants(targets),
       client(loop, MakeClientOptions()),
       termination_detector(loop),
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -104,6 +104,9 @@
   // Refuses a request because all targets are full or have reached their
   // limits.
   void RefuseFull();
+  // Refuses a request because targets that may be cold have had their share of
+  // this gateway's requests.
+  void RefuseCold();
   // If all targets have asked for a pause, refuses the request until the first
   // pause has ended, and returns true.
   bool RefuseIfAllPaused();
--- a/src/plugins/gateway/relay_call_answers.cc
+++ b/src/plugins/gateway/relay_call_answers.cc
@@ -48,6 +48,9 @@
     case traffic::NoChoice::kEvacuated:
       Refuse(RetryAfter(), "all targets are in evacuated failure domains");
       return;
+    case traffic::NoChoice::kCold:
+      RefuseCold();
+      return;
     case traffic::NoChoice::kFull:
       RefuseFull();
       return;
@@ -164,6 +167,13 @@
          "all targets have as much as their limits allow");
 }
 
+void RelayCall::RefuseCold() {
+  const auto wait = state_.targets.TimeUntilColdStart(service_, SteadyNow());
+  Refuse(std::clamp(wait.value_or(RetryAfter()), kMinRetryAfter,
+                    std::max(kMinRetryAfter, RetryAfter())),
+         "all other targets may be cold and have had their share");
+}
+
 Duration RelayCall::RetryAfterFull() {
   const auto paused = state_.targets.PausedTargetsOf(service_, SteadyNow());
   const Duration retry_after = RetryAfter();
--- a/tests/auto/control_node/replicated_state_test.cc
+++ b/tests/auto/control_node/replicated_state_test.cc
@@ -57,6 +57,28 @@
   CHECK(read.configuration().version() == 3);
 }
 
+// Guards against a gateway that gets the index of another one after a restart.
+TEST_CASE("a snapshot holds the roster of gateways") {
+  for (const bool has_evacuation : {false, true}) {
+    CAPTURE(has_evacuation);
+    ReplicatedState state;
+    state.Apply(Configuration(3));
+    if (has_evacuation) {
+      state.Apply(
+          ReplicatedState::ProposeEvacuation({FailureDomain("z"), true, 0}));
+    }
+    CHECK(state.Apply(ReplicatedState::ProposeRoster({{"b", "a"}, 1})) ==
+          ReplicatedState::Change::kRoster);
+    CHECK(state.Apply(ReplicatedState::ProposeRoster({{"a"}, 1})) ==
+          ReplicatedState::Change::kNone);
+    ReplicatedState read;
+    REQUIRE(read.Import(state.Export()));
+    CHECK(read.roster().SeatOf("a") == cold_targets::GatewaySeat{1, 2, false});
+    CHECK(read.evacuations().IsEvacuated(FailureDomain("z")) == has_evacuation);
+    CHECK(read.configuration().version() == 3);
+  }
+}
+
 // Guards against losing an acknowledged evacuation when a replica restarts from
 // a snapshot.
 TEST_CASE("a snapshot holds evacuations, with and without refusals") {
--- a/tests/auto/group_loads/group_load_view_test.cc
+++ b/tests/auto/group_loads/group_load_view_test.cc
@@ -18,7 +18,9 @@
 }
 
 GroupLoadView MakeView() {
-  return GroupLoadView(GroupLoadViewOptions{});
+  GroupLoadView view{GroupLoadViewOptions{}};
+  view.SetUsableShares({{kFirst, 1.0}, {kSecond, 1.0}});
+  return view;
 }
 
 TEST_CASE("groups with more free room get more requests") {
@@ -60,6 +62,18 @@
   CHECK(view.Choose(kService, 0.0, kStart + Milliseconds(500)) == kFirst);
 }
 
+// Guards against counting the room of a group in an evacuated failure domain.
+TEST_CASE("only the usable part of a group counts as room") {
+  GroupLoadView view = MakeView();
+  view.OnReported("leader", {Load(kFirst, 0), Load(kSecond, 40)}, kStart);
+  CHECK(view.FractionOf(kService, kStart) == doctest::Approx(0.2));
+  view.SetUsableShares({{kSecond, 0.5}});
+  CHECK(view.FractionOf(kService, kStart) == doctest::Approx(0.8));
+  CHECK(view.Choose(kService, 0.0, kStart) == kSecond);
+  view.SetUsableShares({});
+  CHECK_FALSE(view.Choose(kService, 0.0, kStart).has_value());
+}
+
 // Guards against decisions on old loads while no leader reports, and on those
 // of a node that does not lead any more.
 TEST_CASE("old loads and those of a former leader are not used") {
--- a/tests/auto/traffic/codecs_test.cc
+++ b/tests/auto/traffic/codecs_test.cc
@@ -53,6 +53,7 @@
   answer.quarantine = {record};
   answer.limits_revision = 15;
   answer.group_loads_revision = 8;
+  answer.seat = cold_targets::GatewaySeat{2, 5, true};
   answer.group_loads = {{GroupId("g1"), ServiceId("model"), true, 20, {0, 12}}};
   answer.evacuations = {4, {FailureDomain("z1"), FailureDomain("z2")}};
   answer.shares = {{{TargetId("t"), Incarnation(3)}, 5.0, 0.5}};
@@ -72,6 +73,10 @@
   query.quarantine_revision = 5;
   query.limits_revision = 6;
   query.group_loads_revision = 9;
+  query.wants_seat = true;
+  query.seat_count = 5;
+  query.is_seat_confirmed = true;
+  query.known_seat_count = 6;
   query.evacuation_revision = 3;
   query.limits = {{{TargetId("t"), Incarnation(3)}, 5.0, Milliseconds(7)}};
   query.wait = Milliseconds(900);
@@ -88,6 +93,10 @@
   CHECK(asked->quarantine_revision == 5);
   CHECK(asked->limits_revision == 6);
   CHECK(asked->group_loads_revision == 9);
+  CHECK(asked->wants_seat);
+  CHECK(asked->seat_count == 5);
+  CHECK(asked->is_seat_confirmed);
+  CHECK(asked->known_seat_count == 6);
   CHECK(asked->evacuation_revision == 3);
   REQUIRE(asked->limits.size() == 1);
   CHECK(asked->limits[0].run == query.limits[0].run);
@@ -122,6 +131,7 @@
         quarantine::RequestFingerprint{1, 2});
   CHECK(answered->limits_revision == 15);
   CHECK(answered->group_loads_revision == 8);
+  CHECK(answered->seat == MakeAnswer().seat);
   CHECK(answered->group_loads == MakeAnswer().group_loads);
   CHECK(answered->evacuations == MakeAnswer().evacuations);
   REQUIRE(answered->shares.has_value());
@@ -148,7 +158,7 @@
   const json::object whole = ToJson(MakeAnswer()).as_object();
   // Members that are only sent if they have changed.
   const std::set<std::string> optional = {"configuration", "group_loads",
-                                          "quarantine", "shares"};
+                                          "quarantine", "seat", "shares"};
   for (const auto& member : whole) {
     CAPTURE(std::string(member.key()));
     json::object broken = whole;
@@ -156,7 +166,7 @@
     const bool is_optional = optional.count(std::string(member.key())) > 0;
     CHECK(WatchAnswerFromJson(broken).has_value() == is_optional);
   }
-  for (const char* list : {"group_loads", "quarantine", "shares"}) {
+  for (const char* list : {"group_loads", "quarantine", "seat", "shares"}) {
     CAPTURE(std::string(list));
     json::object broken = whole;
     broken[list] = 1;
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -44,6 +44,8 @@
       return "none";
     case NoChoice::kEvacuated:
       return "evacuated";
+    case NoChoice::kCold:
+      return "cold";
     case NoChoice::kFull:
       return "full";
     case NoChoice::kPaused:
@@ -71,6 +73,37 @@
   CHECK(Chosen(pool, kStart) == "a");
 }
 
+// Guards against more requests than a cold target tolerates, also from a
+// gateway that has heard nothing for a while, and against refusals while it is
+// warm.
+TEST_CASE("only targets that are known to be warm get more than their share") {
+  struct Row {
+    std::string name;
+    bool is_cold;
+    Duration since_report;
+    std::string third;
+  };
+  for (const Row& row :
+       {Row{"cold", true, Seconds(0), "cold"},
+        Row{"warm", false, Seconds(0), "a"},
+        Row{"not heard of for a while", false, Seconds(4), "cold"}}) {
+    CAPTURE(row.name);
+    TargetPoolOptions options;
+    options.started_at = kStart - Seconds(60);
+    TargetPool pool(options, 7);
+    pool.cold_starts().SetRates({{kService, 2.0}});
+    pool.cold_starts().SetSeat({0, 1, true});
+    TargetRecord record = Record("a");
+    record.announcement.is_cold = row.is_cold;
+    pool.Update("c1", true, {record}, kStart);
+    const TimePoint now = kStart + row.since_report;
+    CHECK(Chosen(pool, now) == "a");
+    CHECK(Chosen(pool, now) == "a");
+    CHECK(Chosen(pool, now) == row.third);
+    CHECK(pool.TimeUntilColdStart(kService, now) == Milliseconds(1500));
+  }
+}
+
 // Guards against sending more requests to a target than it accepts from all
 // gateways together.
 TEST_CASE(
--- a/tests/auto/urgency/urgency_load_test.cc
+++ b/tests/auto/urgency/urgency_load_test.cc
@@ -50,7 +50,15 @@
         gates_(load.gateways, UrgencyGate(UrgencyGateOptions{})),
         views_(
             load.gateways,
-            group_loads::GroupLoadView(group_loads::GroupLoadViewOptions{})) {}
+            group_loads::GroupLoadView(group_loads::GroupLoadViewOptions{})) {
+    std::map<GroupId, double> shares;
+    for (std::size_t group = 0; group < kGroups; ++group) {
+      shares[GroupId("g" + std::to_string(group))] = 1.0;
+    }
+    for (group_loads::GroupLoadView& view : views_) {
+      view.SetUsableShares(shares);
+    }
+  }
 
   Outcome Run() {
     std::vector<double> asked(kClasses.size());
