--- a/src/libs/group_loads/room_estimator.cc
+++ b/src/libs/group_loads/room_estimator.cc
@@ -54,8 +54,9 @@
 
 std::uint32_t RoomEstimator::Room(Duration max_gap, TimePoint now) const {
   const double slots = options_.slots;
+  const double most = options_.usable_slots * slots;
   if (max_gap == Duration::zero()) {
-    return options_.slots;
+    return static_cast<std::uint32_t>(most);
   }
   double per_request = ToSeconds(options_.per_request);
   const double fixed = ToSeconds(options_.fixed);
@@ -70,10 +71,10 @@
   }
   const double usable = options_.usable_gap * ToSeconds(max_gap);
   if (per_request <= 0.0) {
-    return options_.slots;
+    return static_cast<std::uint32_t>(most);
   }
   const double room = std::clamp((usable - fixed) / per_request,
-                                 options_.min_part * slots, slots);
+                                 options_.min_part * slots, most);
   return static_cast<std::uint32_t>(room);
 }
 
--- a/src/libs/group_loads/room_estimator.h
+++ b/src/libs/group_loads/room_estimator.h
@@ -27,6 +27,9 @@
   // Part of the longest accepted pause that the mean pass may take, as single
   // passes vary.
   double usable_gap = 0.85;
+  // Part of the slots that may be used: with all of them taken, the next request
+  // waits for another one to end.
+  double usable_slots = 0.85;
   // Passes are measured over this time.
   Duration window = Milliseconds(400);
   // The estimate is at least this part of the slots: a group without requests
@@ -45,8 +48,8 @@
   // Mean time of the latest passes; at least the time since the last pass began
   // if requests are running.
   std::optional<Duration> PassTime(TimePoint now) const;
-  // Number of requests, at most the slots, with which the pauses between events
-  // stay within `max_gap`; all slots if that is zero.
+  // Number of requests, at most the usable slots, with which the pauses between
+  // events stay within `max_gap`; all usable slots if that is zero.
   std::uint32_t Room(Duration max_gap, TimePoint now) const;
 
  private:
--- a/tests/auto/group_loads/room_estimator_test.cc
+++ b/tests/auto/group_loads/room_estimator_test.cc
@@ -40,12 +40,12 @@
     std::uint32_t at_most;
   };
   for (const Row& row : {
-           Row{"an even map", Milliseconds(60), 100, 235, 240},
+           Row{"an even map", Milliseconds(60), 100, 204, 204},
            Row{"passes as long as callers accept", Milliseconds(102), 200, 195,
                205},
            Row{"an uneven map", Milliseconds(110), 120, 100, 115},
            Row{"a slow rank", Milliseconds(400), 200, 24, 40},
-           Row{"hardly any requests", Milliseconds(60), 10, 235, 240},
+           Row{"hardly any requests", Milliseconds(60), 10, 204, 204},
        }) {
     CAPTURE(row.name);
     RoomEstimator estimator = MakeEstimator();
@@ -64,7 +64,7 @@
 
 TEST_CASE("an idle group, and one whose passes count anew, keep their room") {
   RoomEstimator estimator = MakeEstimator();
-  CHECK(estimator.Room(kMaxGap, kStart) == 240);
+  CHECK(estimator.Room(kMaxGap, kStart) == 204);
   TimePoint now = Play(estimator, Milliseconds(60), 150, kStart, 500);
   estimator.OnPass(520, 0, now + Milliseconds(60));
   CHECK(estimator.Room(kMaxGap, now + Seconds(5)) > 200);
@@ -72,10 +72,10 @@
   CHECK(estimator.Room(kMaxGap, now) > 200);
 }
 
-TEST_CASE("without a longest pause all slots are room") {
+TEST_CASE("without a longest pause all usable slots are room") {
   RoomEstimator estimator = MakeEstimator();
   const TimePoint now = Play(estimator, Milliseconds(300), 200, kStart);
-  CHECK(estimator.Room(Duration::zero(), now) == 240);
+  CHECK(estimator.Room(Duration::zero(), now) == 204);
 }
 
 }  // namespace
