--- a/src/libs/group_loads/group_load_publisher.cc
+++ b/src/libs/group_loads/group_load_publisher.cc
@@ -5,37 +5,46 @@
 
 namespace bilberryspool::group_loads {
 
+namespace {
+
+std::size_t CountClosed(const std::vector<GroupLoad>& loads) {
+  return static_cast<std::size_t>(
+      std::count_if(loads.begin(), loads.end(),
+                    [](const GroupLoad& load) { return !load.is_open; }));
+}
+
+}  // namespace
+
 bool GroupLoadPublisher::Offer(std::vector<GroupLoad> loads, TimePoint now) {
-  if (loads.empty() && published_.empty()) {
-    return false;
-  }
-  // Gateways should not send more requests to a group that has just broken.
-  const auto any_closed = [](const std::vector<GroupLoad>& groups) {
-    return std::count_if(groups.begin(), groups.end(),
-                         [](const GroupLoad& load) { return !load.is_open; });
-  };
-  const bool is_urgent =
-      loads.empty() || any_closed(loads) != any_closed(published_);
-  const Duration interval = is_urgent ? options_.min_interval : Interval(loads);
-  if (now - published_at_ < interval) {
+  const bool has_none = loads.empty() && published_.empty();
+  if (has_none || now - published_at_ < options_.min_interval) {
     return false;
   }
+  const bool is_urgent = IsUrgent(loads, now);
   published_ = std::move(loads);
   published_at_ = now;
   ++revision_;
-  return true;
+  if (is_urgent) {
+    urgent_at_ = now;
+    urgent_revision_ = revision_;
+  }
+  return is_urgent;
 }
 
-Duration GroupLoadPublisher::Interval(
-    const std::vector<GroupLoad>& loads) const {
-  const bool is_slack =
-      std::all_of(loads.begin(), loads.end(), [&](const GroupLoad& load) {
-        return load.requests() < options_.slack_fraction * load.room;
+bool GroupLoadPublisher::IsUrgent(const std::vector<GroupLoad>& loads,
+                                  TimePoint now) const {
+  // Gateways should not send more requests to a group that has just broken.
+  if (loads.size() != published_.size() ||
+      CountClosed(loads) != CountClosed(published_)) {
+    return true;
+  }
+  const Duration interval = options_.urgent_interval_per_reader *
+                            static_cast<Duration::rep>(readers_);
+  const bool is_scarce =
+      std::any_of(loads.begin(), loads.end(), [&](const GroupLoad& load) {
+        return load.requests() > options_.scarce_from * load.room;
       });
-  const Duration interval =
-      std::max(options_.min_interval, options_.interval_per_reader *
-                                          static_cast<Duration::rep>(readers_));
-  return is_slack ? std::max(interval, options_.slack_interval) : interval;
+  return is_scarce && now - urgent_at_ >= interval;
 }
 
 }  // namespace bilberryspool::group_loads
--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -395,6 +395,14 @@
       {"control.tolerated_losses", scope, IntegerKind{0, 16}, Integer(1),
        "Data folders that may be lost at the same time.",
        InControl([](S & s) -> auto& { return s.tolerated_losses; })});
+  specs.push_back(
+      {"groups.share_loads", scope, FlagKind{}, DefaultValue{false},
+       "Whether the leader sends the loads of groups to the gateways, which "
+       "then "
+       "choose a group by its free room and let urgent requests pass first. "
+       "Costs "
+       "the leader processor time for each gateway, several times a second.",
+       InControl([](S & s) -> auto& { return s.shares_group_loads; })});
   specs.push_back(
       {"announcements.interval_ms", scope, IntegerKind{1, kDayMs}, Required{},
        "How often a target announces itself.",
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -159,6 +159,8 @@
   bool is_first_start = false;
   // Number of data folders that may be lost at the same time.
   std::uint32_t tolerated_losses = 0;
+  // Whether the leader sends the loads of groups to the gateways.
+  bool shares_group_loads = false;
   Duration announcement_interval{};
   Duration drain_grace{};
 };
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -74,6 +74,7 @@
       read_configuration_(std::move(read_configuration)),
       log_("control"),
       targets_(MakeRegistryOptions(settings)),
+      shares_group_loads_(settings.shares_group_loads),
       confirmations_(SteadyNow()),
       boot_(std::random_device()()),
       replica_(loop, client_, common, settings, MakeHooks()) {}
@@ -422,6 +423,9 @@
 }
 
 void ControlNode::OfferGroupLoads(std::vector<group_loads::GroupLoad> loads) {
+  if (!shares_group_loads_) {
+    return;
+  }
   if (group_loads_.Offer(std::move(loads), SteadyNow())) {
     changed_.NotifyAll();
   }
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -108,7 +108,7 @@
   }
   std::uint64_t slow_revision() const { return slow_revision_; }
   // Offers the loads of the groups that this node leads, to be published when
-  // that is due. Meant to be called periodically.
+  // that is due if the settings say so. Meant to be called periodically.
   void OfferGroupLoads(std::vector<group_loads::GroupLoad> loads);
   group_loads::GroupLoadPublisher& group_loads() { return group_loads_; }
 
@@ -196,6 +196,7 @@
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
   TimePoint slow_targets_published_at_;
+  bool shares_group_loads_;
   group_loads::GroupLoadPublisher group_loads_{
       group_loads::GroupLoadPublisherOptions{}};
   bool is_saving_ = false;
--- a/src/plugins/control_node/watch_service.cc
+++ b/src/plugins/control_node/watch_service.cc
@@ -47,7 +47,8 @@
            (!query->requester.empty() &&
             (query->limits_revision != node_.limits().published_revision() ||
              query->evacuation_revision != node_.evacuations().revision() ||
-             query->group_loads_revision != node_.group_loads().revision())) ||
+             query->group_loads_revision <
+                 node_.group_loads().urgent_revision())) ||
            has_new_seat();
   };
   const auto has_update = [&] {
