--- a/src/libs/group_loads/room_estimator.h
+++ b/src/libs/group_loads/room_estimator.h
@@ -27,8 +27,8 @@
   // Part of the longest accepted pause that the mean pass may take, as single
   // passes vary.
   double usable_gap = 0.85;
-  // Part of the slots that may be used: with all of them taken, the next request
-  // waits for another one to end.
+  // Part of the slots that may be used: with all of them taken, the next
+  // request waits for another one to end.
   double usable_slots = 0.85;
   // Passes are measured over this time.
   Duration window = Milliseconds(400);
