Evacuation, cold targets: what stood twice stands in one place

Read as a newcomer: the log's list of evacuated domains was written in the control node and in the gateway, and the interval after which a place may be used again in the limiter and in the confirmations, where a difference would break the sum over the gateways. No change of behaviour; cold_targets_test, evacuation_test, control_node_test, traffic_test pass.

--- a/src/libs/cold_targets/cold_start_limiter.cc
+++ b/src/libs/cold_targets/cold_start_limiter.cc
@@ -59,13 +59,12 @@
   // The request that was sent `places` requests ago has used the place that
   // becomes free next.
   const TimePoint used_at = found->second[found->second.size() - places];
-  return std::max(
-      {pause, used_at + options_.place_interval - now, Duration::zero()});
+  return std::max({pause, used_at + kPlaceInterval - now, Duration::zero()});
 }
 
 void ColdStartLimiter::Tick(TimePoint now) {
   for (auto& [target, times] : sent_) {
-    while (!times.empty() && now - times.front() >= options_.place_interval) {
+    while (!times.empty() && now - times.front() >= kPlaceInterval) {
       times.pop_front();
     }
   }
--- a/src/libs/cold_targets/cold_start_limiter.h
+++ b/src/libs/cold_targets/cold_start_limiter.h
@@ -31,9 +31,6 @@
   // addition, in each second.
   double overage = 1.0;
   double slack = 0.0;
-  // Time after which a place may be used again: a second, and the longest time
-  // from the decision to send until the request is written.
-  Duration place_interval = Milliseconds(1500);
   // A process that has just started uses no places: the one before it may have
   // used them in the last second.
   Duration start_pause = Seconds(1);
--- a/src/libs/cold_targets/seat_confirmations.cc
+++ b/src/libs/cold_targets/seat_confirmations.cc
@@ -2,15 +2,14 @@
 
 #include <algorithm>
 
+#include "libs/cold_targets/place_owner.h"
+
 namespace bilberryspool::cold_targets {
 
 namespace {
 
 // A gateway that was not heard for this long counts as gone.
 constexpr Duration kRetention = Seconds(60);
-// A second, and the longest time from the decision to send until the request is
-// written.
-constexpr Duration kUseOfPlace = Milliseconds(1500);
 
 }  // namespace
 
@@ -41,7 +40,7 @@
       return 0;
     }
     const Known& known = found->second;
-    confirmed = std::min(confirmed, now - known.since >= kUseOfPlace
+    confirmed = std::min(confirmed, now - known.since >= kPlaceInterval
                                         ? known.count
                                         : known.count_before);
   }
--- a/src/libs/evacuation/evacuation_state.h
+++ b/src/libs/evacuation/evacuation_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <set>
+#include <string>
 
 #include "libs/base/ids.h"
 
@@ -17,6 +18,10 @@
   bool operator==(const EvacuationState&) const = default;
 };
 
+// The names of the evacuated domains for the log, separated by commas; "none"
+// without any.
+std::string NamesOf(const EvacuationState& state);
+
 }  // namespace bilberryspool::evacuation
 
 #endif  // LIBS_EVACUATION_EVACUATION_STATE_H_
--- a/src/plugins/control_node/control_node_evacuation.cc
+++ b/src/plugins/control_node/control_node_evacuation.cc
@@ -24,14 +24,6 @@
 // the same time, but reads the order first.
 constexpr Duration kDisconnectionDelay = Milliseconds(5);
 
-std::string Join(const std::set<FailureDomain>& domains) {
-  std::string text;
-  for (const FailureDomain& domain : domains) {
-    text += (text.empty() ? "" : ",") + domain.value();
-  }
-  return text.empty() ? "none" : text;
-}
-
 }  // namespace
 
 EvacuationOutcome ControlNode::Evacuate(
@@ -173,8 +165,9 @@
 
 void ControlNode::LogEvacuations() {
   const evacuation::EvacuationState state = evacuations().state();
-  log_.Info("Evacuated failure domains changed.",
-            {{"domains", Join(state.domains)}, {"revision", state.revision}});
+  log_.Info(
+      "Evacuated failure domains changed.",
+      {{"domains", evacuation::NamesOf(state)}, {"revision", state.revision}});
 }
 
 }  // namespace bilberryspool::control_node
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -303,12 +303,8 @@
   if (!state_.targets.SetEvacuated(reported)) {
     return;
   }
-  std::string domains;
-  for (const FailureDomain& domain : reported.domains) {
-    domains += (domains.empty() ? "" : ",") + domain.value();
-  }
   log_.Info("Evacuated failure domains changed.",
-            {{"domains", domains.empty() ? "none" : domains},
+            {{"domains", evacuation::NamesOf(reported)},
              {"revision", reported.revision}});
 }
 
