evacuation_test: requests are found by the clock that the stand-in writes

The test compared the stand-in's steady clock with the time of day, so that no request ever lay between the evacuation and its withdrawal: the check could not fail. It reads the same clock now, and first checks that requests before the evacuation are found.

--- a/tests/processes/platform/evacuation_test.sh
+++ b/tests/processes/platform/evacuation_test.sh
@@ -16,7 +16,8 @@
 is_evacuated() { [ "$(evacuate POST "$@")" = 200 ]; }
 is_withdrawn() { [ "$(evacuate DELETE "$@")" = 200 ]; }
 lists() { curl -s -m 2 "127.0.0.$1:${P}30/evacuations" | grep -q "\"domains\":\[$2\]"; }
-now_ms() { date +%s%3N; }
+# The clock that the stand-in records requests by.
+now_ms() { python3 -c 'import time; print(time.monotonic_ns() // 1000000)'; }
 send_until() { # GATEWAY FILE
   local n=0
   until [ -e "$2" ]; do
@@ -34,6 +35,7 @@
   send_until "$i" "$RUN/stop" &
   LOADS="$LOADS $!"
 done
+SENT_FROM="$(now_ms)"
 used_away() { [ "$(wc -l < "$RUN/requests-away")" -gt 5 ]; }
 wait_until "the target in the other domain is used" used_away
 
@@ -57,6 +59,7 @@
 for i in $GATEWAYS; do wait_until "gateway $i knows" knows "$i"; done
 sleep 2
 WITHDRAWN="$(now_ms)"
+[ "$(runs_between "$RUN/requests-away" "$SENT_FROM" "$ACKED")" -gt 5 ] || fail "no request to the domain before its evacuation is found"
 expect "requests to the evacuated domain" 0 \
   "$(runs_between "$RUN/requests-away" $((ACKED + APPLY_MS)) "$WITHDRAWN")"
 
