--- a/src/libs/settings/key_kind.cc
+++ b/src/libs/settings/key_kind.cc
@@ -96,18 +96,26 @@
   return elements;
 }
 
-// The reader passes floats as text, since most keys accept none.
+// Returns the text of a float, which the reader passes as text since most keys
+// accept none, or of a number that is written as text.
+const std::string* FindNumberText(const RawValue& raw) {
+  if (const auto* other = std::get_if<OtherValue>(&raw.value)) {
+    return &other->text;
+  }
+  return std::get_if<std::string>(&raw.value);
+}
+
 std::optional<double> ToNumber(const RawValue& raw) {
   if (const auto* whole = std::get_if<std::int64_t>(&raw.value)) {
     return static_cast<double>(*whole);
   }
-  const auto* other = std::get_if<OtherValue>(&raw.value);
-  if (other == nullptr) {
+  const std::string* text = FindNumberText(raw);
+  if (text == nullptr) {
     return std::nullopt;
   }
   double number = 0.0;
-  const char* end = other->text.data() + other->text.size();
-  const auto parsed = std::from_chars(other->text.data(), end, number);
+  const char* end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, number);
   if (parsed.ec != std::errc() || parsed.ptr != end) {
     return std::nullopt;
   }
--- a/src/libs/settings/load.cc
+++ b/src/libs/settings/load.cc
@@ -154,9 +154,17 @@
                        });
   }
 
+  // A template that has no value for a number leaves its text empty.
+  static bool IsNumberLeftEmpty(const KeySpec& spec, const RawValue& raw) {
+    const auto* text = std::get_if<std::string>(&raw.value);
+    return text != nullptr && text->empty() &&
+           std::holds_alternative<NumberKind>(spec.kind) &&
+           std::holds_alternative<DefaultValue>(spec.presence);
+  }
+
   void ReadKey(const KeySpec& spec) {
     const RawValue* raw = Find(spec.name);
-    if (raw == nullptr) {
+    if (raw == nullptr || IsNumberLeftEmpty(spec, *raw)) {
       HandleMissingKey(spec);
       return;
     }
--- a/src/libs/settings/settings_page.cc
+++ b/src/libs/settings/settings_page.cc
@@ -18,6 +18,10 @@
 `_permille`, `_s`. A key with a dot, such as `log.level`, is `level` in the table
 `[log]`. Addresses are IP numbers with a port, never host names.
 
+A number that may have a fraction may also be written as text, such as `"1.5"`;
+where it has a default, `""` stands for it. So a template can fill in a value
+that is not always known.
+
 This page is made from the table of keys in `src/libs/settings/key_table.cc`;
 a test compares the two. To write it anew, run `settings_test` with
 `BILBERRYSPOOL_WRITE_PAGE=1`.
--- a/tests/auto/settings/parse_test.cc
+++ b/tests/auto/settings/parse_test.cc
@@ -149,6 +149,9 @@
        "true beside engine.kind plain"},
       {"agent.toml", "services", "services = []", "services", "a list of 0"},
       {"gateway.toml", "port = ", "port = 0", "sidecars.port", "0"},
+      {"gateway.toml", "grace_s", "grace_s = \"\"", "drain.grace_s", "\"\""},
+      {"gateway.toml", "grace_s", "grace_s = \"8 s\"", "drain.grace_s",
+       "\"8 s\""},
       {"gateway.toml", "port = ", "port = 65536", "sidecars.port", "65536"},
   };
   for (const Row& row : rows) {
