Control nodes log who asks for admission and what became of a change

It said nothing of who asks, and the result of each change of membership was dropped.

No decision is changed here.

--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -138,6 +138,15 @@
         .Set(static_cast<double>(node_.targets().records().size()));
     metrics_.GaugeFor({"bilberryspool_leader", "1 where this replica leads"})
         .Set(node_.replica().is_leader() ? 1.0 : 0.0);
+    metrics_
+        .GaugeFor({"bilberryspool_unresponsive_voters",
+                   "Copies of the log that do not respond to this leader"})
+        .Set(static_cast<double>(
+            node_.replica().unresponsive_voters().value_or(0)));
+    metrics_
+        .GaugeFor({"bilberryspool_nodes_asking_admission",
+                   "Nodes without a copy of the log that ask for one"})
+        .Set(static_cast<double>(node_.replica().asking_nodes()));
     quarantine_service_.SetMetrics(metrics_);
     evacuation_service_.SetMetrics(metrics_);
     metrics_
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -1,5 +1,6 @@
 #include "plugins/control_node/replica_host.h"
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <random>
 
@@ -33,6 +34,24 @@
   return NodeId(address.ToString());
 }
 
+std::string_view ReasonName(consensus::RefusalReason reason) {
+  switch (reason) {
+    case consensus::RefusalReason::kChangeInProgress:
+      return "another change is in progress";
+    case consensus::RefusalReason::kLeaderNotReady:
+      return "the leader has committed nothing yet";
+    case consensus::RefusalReason::kUnknownMember:
+      return "unknown member";
+    case consensus::RefusalReason::kAlreadyMember:
+      return "already a member";
+    case consensus::RefusalReason::kNotCaughtUp:
+      return "the learner has not caught up";
+    case consensus::RefusalReason::kWouldLoseQuorum:
+      return "too few of the voters respond";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 ReplicaHost::ReplicaHost(net::NetworkLoop& loop,
@@ -177,12 +196,14 @@
   const TimePoint now = SteadyNow();
   if (!driver_->is_leader(now)) {
     member_keeper_.reset();
+    asking_.clear();
     return;
   }
   const auto picture = consensus::MembershipStatusOf(driver_->replica());
   if (is_membership_changing_ || !picture.has_value()) {
     return;
   }
+  LogAskingNodes(*picture);
   if (!member_keeper_.has_value()) {
     consensus::MemberManagerOptions options;
     options.voters = 2 * settings_.tolerated_losses + 1;
@@ -213,11 +234,48 @@
              *change);
   is_membership_changing_ = true;
   loop_.Spawn([this, change = *change] {
-    driver_->Change(change, kChangeTimeout);
+    LogOutcome(driver_->Change(change, kChangeTimeout));
     is_membership_changing_ = false;
   });
 }
 
+void ReplicaHost::LogAskingNodes(const consensus::MembershipStatus& status) {
+  for (const auto& [node, member] : status.awaiting) {
+    const auto known = asking_.find(node);
+    if (known == asking_.end() || known->second != member) {
+      log_.Info(
+          "A node asks for admission.",
+          {{"node", node.value()}, {"identity", member.identity.value()}});
+    }
+  }
+  for (const auto& [node, member] : asking_) {
+    if (!status.awaiting.contains(node)) {
+      log_.Info(
+          "A node no longer asks for admission.",
+          {{"node", node.value()}, {"identity", member.identity.value()}});
+    }
+  }
+  asking_ = status.awaiting;
+}
+
+void ReplicaHost::LogOutcome(
+    const std::optional<control::ReplicaDriver::Result>& outcome) {
+  if (!outcome.has_value()) {
+    log_.Warn("A change of membership is not committed in time.");
+    return;
+  }
+  std::visit(
+      Overloaded{[](const consensus::Accepted&) {},
+                 [this](const consensus::Refused& refused) {
+                   log_.Warn("A change of membership is refused.",
+                             {{"why", ReasonName(refused.reason)}});
+                 },
+                 [this](const auto&) {
+                   log_.Warn("A change of membership has an unknown outcome.");
+                 }},
+      *outcome);
+}
+
 void ReplicaHost::Stop() {
   is_stopping_ = true;
   if (driver_ != nullptr) {
@@ -234,6 +292,23 @@
                                    driver_->replica().self());
 }
 
+std::optional<std::size_t> ReplicaHost::unresponsive_voters() const {
+  const TimePoint now = SteadyNow();
+  const auto status = driver_ == nullptr
+                          ? std::nullopt
+                          : consensus::MembershipStatusOf(driver_->replica());
+  if (!status.has_value()) {
+    return std::nullopt;
+  }
+  const auto& voters = status->membership.voters;
+  return std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
+    const auto response = status->last_responses.find(voter);
+    return voter != status->self &&
+           (response == status->last_responses.end() ||
+            now - response->second > kElectionTimeoutMax);
+  });
+}
+
 std::optional<net::Endpoint> ReplicaHost::FindLeader() const {
   if (driver_ == nullptr || !driver_->replica().leader().has_value() ||
       driver_->replica().leader()->node == self_) {
--- a/src/plugins/control_node/replica_host.h
+++ b/src/plugins/control_node/replica_host.h
@@ -47,6 +47,10 @@
   // Whether this node's data folder is in the log's membership, as far as it
   // knows.
   bool is_member() const;
+  // Voters that do not respond to this node; nothing unless it leads.
+  std::optional<std::size_t> unresponsive_voters() const;
+  // Nodes that ask for admission, as far as this node knows.
+  std::size_t asking_nodes() const { return asking_.size(); }
   // The address of the leader; nothing if it is unknown or this node leads.
   std::optional<net::Endpoint> FindLeader() const;
   // The voters and learners, or the seeds if no members are known yet.
@@ -61,6 +65,8 @@
   control::ReplicaHooks MakeHooks();
   void RunMaintenance();
   void MaintainMembership();
+  void LogAskingNodes(const consensus::MembershipStatus& status);
+  void LogOutcome(const std::optional<control::ReplicaDriver::Result>& outcome);
   void HandOverIfDiskStalls();
 
   net::NetworkLoop& loop_;
@@ -80,6 +86,8 @@
   bool is_membership_changing_ = false;
   // Exists while this node leads.
   std::optional<consensus::MemberManager> member_keeper_;
+  // Folders that asked for admission at the last check.
+  std::map<NodeId, consensus::MemberId> asking_;
 };
 
 }  // namespace bilberryspool::control_node
