A replica that hears of no leader asks for admission

What users would see: the log stays one copy short although a node with a folder of it runs; the next lost disk takes the acknowledged configuration.

Cause: only a replica with a new folder sent Hello. One that was replaced while it was away (frozen or cut off for over 2 s while another node asked) returned with its old folder, was sent nothing by the leader, started pre-votes that nobody granted, and never asked.

Every replica without a leader for election_timeout_max now sends Hello to the members of its own log and to the peers that it knows. The leader ignores members, folders of another log and earlier epochs. Learned peers are forgotten if they are not reported again for 50 intervals, so that Hello doesn't go to every node that was ever a member.

--- a/src/libs/consensus/bootstrap.cc
+++ b/src/libs/consensus/bootstrap.cc
@@ -6,6 +6,13 @@
 
 namespace bilberryspool::consensus {
 
+namespace {
+
+// A peer that was learned counts for this many intervals of Hello messages.
+constexpr int kLearnedPeerIntervals = 50;
+
+}  // namespace
+
 Bootstrap::Bootstrap(const ReplicaOptions& options, MemberId self)
     : self_(std::move(self)),
       initial_voters_(options.initial_voters),
@@ -17,11 +24,11 @@
   peers_.assign(peers.begin(), peers.end());
 }
 
-void Bootstrap::AddPeers(const std::vector<NodeId>& peers) {
-  std::set<NodeId> all(peers_.begin(), peers_.end());
-  all.insert(peers.begin(), peers.end());
-  all.erase(self_.node);
-  peers_.assign(all.begin(), all.end());
+void Bootstrap::AddPeers(const std::vector<NodeId>& peers, TimePoint now) {
+  for (const NodeId& peer : peers) {
+    learned_peers_[peer] = now;
+  }
+  learned_peers_.erase(self_.node);
 }
 
 std::vector<NodeId> Bootstrap::NextHelloRecipients(TimePoint now) {
@@ -31,7 +38,14 @@
   next_hello_at_ = now + interval_;
   ++round_;
   blank_peers_.clear();
-  return peers_;
+  std::erase_if(learned_peers_, [&](const auto& item) {
+    return now > item.second + kLearnedPeerIntervals * interval_;
+  });
+  std::set<NodeId> recipients(peers_.begin(), peers_.end());
+  for (const auto& [peer, learned_at] : learned_peers_) {
+    recipients.insert(peer);
+  }
+  return {recipients.begin(), recipients.end()};
 }
 
 Hello Bootstrap::MakeHello() const {
--- a/src/libs/consensus/bootstrap.h
+++ b/src/libs/consensus/bootstrap.h
@@ -23,7 +23,9 @@
  public:
   Bootstrap(const ReplicaOptions& options, MemberId self);
 
-  void AddPeers(const std::vector<NodeId>& peers);
+  // Adds further recipients of Hello. Those that are not added again for a
+  // while are forgotten, as their nodes may be gone.
+  void AddPeers(const std::vector<NodeId>& peers, TimePoint now);
   // Starts a new round of Hello messages if one is due and returns their
   // recipients; empty before the interval has elapsed.
   std::vector<NodeId> NextHelloRecipients(TimePoint now);
@@ -38,6 +40,8 @@
   MemberId self_;
   std::vector<NodeId> initial_voters_;
   std::vector<NodeId> peers_;
+  // Recipients that were learned, and when last.
+  std::map<NodeId, TimePoint> learned_peers_;
   Duration interval_;
   TimePoint next_hello_at_;
   std::uint64_t round_ = 0;
--- a/src/libs/consensus/election.h
+++ b/src/libs/consensus/election.h
@@ -23,6 +23,9 @@
   // Whether a leader may hold a lease that depends on this replica's
   // acknowledgement.
   bool HadRecentLeaderContact(TimePoint now) const;
+  // When the last leader contact is too long ago for a leader that serves this
+  // replica.
+  TimePoint leader_lost_at() const { return leader_contact_ + timeout_max_; }
   bool IsDue(TimePoint now) const { return now >= deadline_; }
   TimePoint deadline() const { return deadline_; }
 
--- a/src/libs/consensus/message.h
+++ b/src/libs/consensus/message.h
@@ -83,8 +83,8 @@
 // Tells a caught-up voter to start an election immediately.
 struct TimeoutNow {};
 
-// Sent by a replica with a new data folder: announces it and asks whether a
-// deployment already exists.
+// Sent by a replica with a new data folder, or that hears of no leader: asks to
+// be admitted and, if its folder is new, whether a deployment already exists.
 struct Hello {
   std::uint64_t round = 0;
   std::vector<NodeId> initial_voters;
--- a/src/libs/consensus/replica.cc
+++ b/src/libs/consensus/replica.cc
@@ -46,10 +46,11 @@
   if (leader_state_) {
     return leader_state_->heartbeat_at();
   }
-  if (!log_.membership().IsVoter(self_)) {
-    return std::nullopt;
-  }
-  return election_.deadline();
+  const TimePoint ask_at =
+      std::max(election_.leader_lost_at(), bootstrap_.deadline());
+  return log_.membership().IsVoter(self_)
+             ? std::min(ask_at, election_.deadline())
+             : ask_at;
 }
 
 bool Replica::is_leader_with_lease(TimePoint now) const {
@@ -80,6 +81,9 @@
     TickLeader(now);
     return;
   }
+  if (now >= election_.leader_lost_at()) {
+    AskForAdmission(now);
+  }
   if (election_.IsDue(now) && log_.membership().IsVoter(self_)) {
     StartPreVote(now);
   }
@@ -179,8 +183,8 @@
   actions_.push_back(PersistSnapshot{ticket, std::move(snapshot), false});
 }
 
-void Replica::On(const PeersLearned& learned, TimePoint /*now*/) {
-  bootstrap_.AddPeers(learned.peers);
+void Replica::On(const PeersLearned& learned, TimePoint now) {
+  bootstrap_.AddPeers(learned.peers, now);
 }
 
 void Replica::On(const TransferLeadership& /*transfer*/, TimePoint now) {
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -64,8 +64,8 @@
   const std::optional<LeaderState>& leader_state() const {
     return leader_state_;
   }
-  // Replicas with a new folder that sent Hello and are not members, by node;
-  // candidates for AddLearner and ReplaceVoter.
+  // Replicas that sent Hello and are not members, by node; candidates for
+  // AddLearner and ReplaceVoter.
   std::map<NodeId, MemberId> awaiting_admission() const;
 
  private:
@@ -104,6 +104,8 @@
   void RejectOldTerm(const Message& message);
   void Halt(HaltReason reason);
   void TickBlank(TimePoint now);
+  void SendHello(TimePoint now);
+  void AskForAdmission(TimePoint now);
   void BootstrapLog(Membership membership, TimePoint now);
 
   // replica_election.cc
--- a/src/libs/consensus/replica_header.cc
+++ b/src/libs/consensus/replica_header.cc
@@ -114,11 +114,27 @@
   return awaiting;
 }
 
-void Replica::TickBlank(TimePoint now) {
+void Replica::SendHello(TimePoint now) {
   for (const NodeId& node : bootstrap_.NextHelloRecipients(now)) {
     Queue({node, ReplicaIdentity(0)}, bootstrap_.MakeHello(),
           SendAfter::kHardState);
   }
+}
+
+// A replica that was removed from the membership while it was away does not
+// learn of it: the leader no longer sends to it. Without a leader's messages it
+// therefore asks like a new one; the leader ignores this while it is a member.
+void Replica::AskForAdmission(TimePoint now) {
+  std::vector<NodeId> members;
+  for (const MemberId& id : log_.membership().AllMembers()) {
+    members.push_back(id.node);
+  }
+  bootstrap_.AddPeers(members, now);
+  SendHello(now);
+}
+
+void Replica::TickBlank(TimePoint now) {
+  SendHello(now);
   if (auto membership = bootstrap_.InitialMembership()) {
     BootstrapLog(std::move(*membership), now);
   }
@@ -137,10 +153,16 @@
 void Replica::OnBody(const Message& message,
                      const Hello& body,
                      TimePoint /*now*/) {
-  Queue(message.from,
-        HelloReply{body.round, is_blank(), options_.initial_voters},
-        SendAfter::kHardState);
-  if (!is_blank()) {
+  const bool is_new = message.cluster == ClusterId(0);
+  if (is_new) {
+    Queue(message.from,
+          HelloReply{body.round, is_blank(), options_.initial_voters},
+          SendAfter::kHardState);
+  }
+  // A folder of another log, or of an earlier epoch, can't follow this one.
+  const bool can_join = is_new || (message.cluster == hard_state_.cluster &&
+                                   message.epoch == hard_state_.epoch);
+  if (!is_blank() && can_join) {
     hello_senders_[message.from.node] = message.from;
   }
 }
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -334,10 +334,10 @@
   return members;
 }
 
-// A node with a new data folder knows only the seeds, and none of them may be
-// the leader.
+// A node with a new data folder knows only the seeds, and one that was away the
+// members of that time; none of them may be the leader.
 void ReplicaHost::LearnMembers(const std::vector<std::string>& members) {
-  if (driver_ == nullptr || !driver_->replica().is_blank()) {
+  if (driver_ == nullptr) {
     return;
   }
   std::vector<NodeId> peers;
--- /dev/null
+++ b/tests/auto/consensus/admission_test.cc
@@ -0,0 +1,136 @@
+// Tests that a node that asks for admission gets the vote of one that is gone,
+// whatever nodes asked before it.
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "auto/consensus/fake_cluster.h"
+#include "libs/consensus/member_manager.h"
+
+namespace bilberryspool::consensus {
+namespace {
+
+// Within this time after its start, a new node must have its vote: until then
+// the loss of another folder may lose what was accepted.
+constexpr Duration kAdmissionLimit = Seconds(4);
+constexpr Duration kSuccessorDelay = Seconds(1);
+constexpr int kSeeds = 10;
+
+// The timing of a control node.
+ReplicaOptions Options() {
+  ReplicaOptions options;
+  options.election_timeout_min = Milliseconds(500);
+  options.election_timeout_max = Milliseconds(900);
+  options.heartbeat_interval = Milliseconds(150);
+  options.hello_interval = Milliseconds(200);
+  options.retained_entries = 4;
+  return options;
+}
+
+// A cluster whose leader manages the members as a control node does.
+class ManagedCluster {
+ public:
+  ManagedCluster(int size, std::uint64_t seed)
+      : cluster_(size, Options(), seed), voters_(size) {
+    CHECK(
+        RunUntil([this] { return cluster_.leader() != nullptr; }, Seconds(10)));
+  }
+
+  FakeCluster& cluster() { return cluster_; }
+
+  bool RunUntil(const std::function<bool()>& done, Duration limit) {
+    constexpr Duration kInterval = Milliseconds(200);
+    const TimePoint end = cluster_.now() + limit;
+    while (!done() && cluster_.now() < end) {
+      cluster_.Run(kInterval);
+      Manage();
+    }
+    return done();
+  }
+
+  void Run(Duration duration) {
+    RunUntil([] { return false; }, duration);
+  }
+
+  bool IsVoter(const std::string& name) {
+    const FakeNode* leader = cluster_.leader();
+    if (leader == nullptr) {
+      return false;
+    }
+    const Membership& membership = leader->replica->log().membership();
+    return !membership.is_joint() &&
+           membership.IsVoter(cluster_.node(name).disk.self);
+  }
+
+  bool GetsVote(const std::string& name) {
+    return RunUntil([&] { return IsVoter(name); }, kAdmissionLimit);
+  }
+
+  // Ends the node for good and starts `successor` with a new folder.
+  void Replace(const std::string& node, const std::string& successor) {
+    cluster_.Crash(NodeId(node));
+    Run(kSuccessorDelay);
+    cluster_.AddNode(successor);
+  }
+
+ private:
+  void Manage() {
+    FakeNode* leader = cluster_.leader();
+    if (leader == nullptr) {
+      manager_.reset();
+      return;
+    }
+    const std::pair term(leader->disk.self, leader->replica->term());
+    if (!manager_.has_value() || term != managed_term_) {
+      MemberManagerOptions options;
+      options.voters = voters_;
+      manager_.emplace(options);
+      managed_term_ = term;
+    }
+    const TimePoint now = cluster_.LocalTime(*leader);
+    const auto status = MembershipStatusOf(*leader->replica);
+    if (const auto change = manager_->Next(*status, now)) {
+      cluster_.ChangeAt(leader->disk.self.node, *change);
+    }
+  }
+
+  FakeCluster cluster_;
+  std::size_t voters_;
+  std::optional<MemberManager> manager_;
+  std::pair<MemberId, Term> managed_term_;
+};
+
+// Any voter that does not lead.
+std::string FollowerOf(ManagedCluster& managed) {
+  for (const char* name : {"a", "b", "c"}) {
+    if (managed.cluster().leader() != &managed.cluster().node(name)) {
+      return name;
+    }
+  }
+  return "";
+}
+
+// Guards against a log that stays one copy short although a node with a folder
+// of it runs: one that was replaced while it was away did not ask for admission
+// when it came back.
+TEST_CASE("a replaced node with its old folder gets a vote again") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    ManagedCluster managed(3, seed);
+    const std::string replaced = FollowerOf(managed);
+    managed.Replace(replaced, "d");
+    REQUIRE(managed.GetsVote("d"));
+    managed.cluster().Crash(NodeId("d"));
+    managed.Run(kSuccessorDelay);
+    managed.cluster().Start(NodeId(replaced));
+    CHECK(managed.GetsVote(replaced));
+    CHECK(managed.cluster().failure() == "");
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::consensus
--- a/tests/auto/consensus/fake_cluster.h
+++ b/tests/auto/consensus/fake_cluster.h
@@ -53,6 +53,8 @@
   FakeCluster(int size, ReplicaOptions options, std::uint64_t seed);
 
   TimePoint now() const { return now_; }
+  // The time of the node's own clock.
+  TimePoint LocalTime(const FakeNode& node) const;
   Random& random() { return random_; }
   NetworkFaults& faults() { return faults_; }
   std::map<NodeId, FakeNode>& nodes() { return nodes_; }
@@ -119,7 +121,6 @@
     }
   };
 
-  TimePoint LocalTime(const FakeNode& node) const;
   TimePoint GlobalTime(const FakeNode& node, TimePoint local) const;
   void Schedule(TimePoint at, const NodeId& id, Event event);
   void ScheduleTick(const NodeId& id);
--- a/tests/auto/consensus/membership_test.cc
+++ b/tests/auto/consensus/membership_test.cc
@@ -69,6 +69,25 @@
   CHECK_FALSE(bootstrap.InitialMembership());
 }
 
+// Guards against Hello messages to every node that was ever a member.
+TEST_CASE("peers that are no longer reported get no Hello") {
+  ReplicaOptions options;
+  options.hello_interval = Milliseconds(200);
+  options.known_peers = {NodeId("b")};
+  Bootstrap bootstrap(options, Member("a", 1));
+  TimePoint now;
+  bootstrap.AddPeers({NodeId("a"), NodeId("c"), NodeId("d")}, now);
+  CHECK(bootstrap.NextHelloRecipients(now) ==
+        std::vector<NodeId>{NodeId("b"), NodeId("c"), NodeId("d")});
+  now += Seconds(8);
+  bootstrap.AddPeers({NodeId("d")}, now);
+  now += Seconds(8);
+  CHECK(bootstrap.NextHelloRecipients(now) ==
+        std::vector<NodeId>{NodeId("b"), NodeId("d")});
+  now += Seconds(8);
+  CHECK(bootstrap.NextHelloRecipients(now) == std::vector<NodeId>{NodeId("b")});
+}
+
 TEST_CASE("a new folder in an existing deployment creates no second log") {
   // Guards against two deployments that answer after a disk was replaced. The
   // first initial voter loses its disk while the others are unreachable and
