A node counts as asking for admission only as long as it asks

Every read of the acknowledged configuration is answered 503 and no request is served.

Cause: Replica::hello_senders_ kept every folder that ever asked. A folder that was admitted and replaced counted as asking again, and the leader chose it for its smaller address: the third vote was given to the first successor, which was gone, taken back after 6 s, and given to it again without end. The log stood at two copies of three.

A Hello now counts for five intervals (1 s at control nodes, which ask each 0.2 s) and is erased after that, so the order in which nodes are chosen holds only those that run.

--- a/src/libs/consensus/member_manager.cc
+++ b/src/libs/consensus/member_manager.cc
@@ -22,7 +22,8 @@
 
 }  // namespace
 
-std::optional<MembershipStatus> MembershipStatusOf(const Replica& replica) {
+std::optional<MembershipStatus> MembershipStatusOf(const Replica& replica,
+                                                   TimePoint now) {
   const auto& state = replica.leader_state();
   if (!state.has_value()) {
     return std::nullopt;
@@ -30,7 +31,7 @@
   MembershipStatus status;
   status.self = replica.self();
   status.membership = replica.log().membership();
-  status.awaiting = replica.awaiting_admission();
+  status.awaiting = replica.awaiting_admission(now);
   for (const auto& [id, progress] : state->progress()) {
     if (progress.has_answered()) {
       status.last_responses[id] = progress.acked_sent_at();
--- a/src/libs/consensus/member_manager.h
+++ b/src/libs/consensus/member_manager.h
@@ -40,7 +40,7 @@
 struct MembershipStatus {
   MemberId self;
   Membership membership;
-  // Members with a new data folder that ask for admission, by node.
+  // Data folders that ask for admission at present, by node.
   std::map<NodeId, MemberId> awaiting;
   // Time of each other member's last response to this leader; members that
   // never responded have no entry.
@@ -48,7 +48,8 @@
 };
 
 // The status as seen by `replica`, or nullopt if it is not the leader.
-std::optional<MembershipStatus> MembershipStatusOf(const Replica& replica);
+std::optional<MembershipStatus> MembershipStatusOf(const Replica& replica,
+                                                   TimePoint now);
 
 // Chooses the membership changes during one leadership term; a new leader uses
 // a new instance.
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -64,9 +64,9 @@
   const std::optional<LeaderState>& leader_state() const {
     return leader_state_;
   }
-  // Replicas that sent Hello and are not members, by node; candidates for
-  // AddLearner and ReplaceVoter.
-  std::map<NodeId, MemberId> awaiting_admission() const;
+  // Replicas that sent Hello recently and are not members, by node; candidates
+  // for AddLearner and ReplaceVoter.
+  std::map<NodeId, MemberId> awaiting_admission(TimePoint now) const;
 
  private:
   struct ReportedRole {
@@ -179,7 +179,11 @@
   // Index of the first entry of this replica's own term as leader.
   LogIndex term_start_index_;
   std::optional<LeaderState> leader_state_;
-  std::map<NodeId, MemberId> hello_senders_;
+  struct HelloSender {
+    MemberId member;
+    TimePoint heard_at;
+  };
+  std::map<NodeId, HelloSender> hello_senders_;
 
   // Changes of the current event that must be written, and its actions.
   bool hard_state_changed_ = false;
--- a/src/libs/consensus/replica_header.cc
+++ b/src/libs/consensus/replica_header.cc
@@ -106,11 +106,15 @@
   actions_.push_back(Halted{reason});
 }
 
-std::map<NodeId, MemberId> Replica::awaiting_admission() const {
-  std::map<NodeId, MemberId> awaiting = hello_senders_;
-  std::erase_if(awaiting, [&](const auto& item) {
-    return log_.membership().Contains(item.second);
-  });
+std::map<NodeId, MemberId> Replica::awaiting_admission(TimePoint now) const {
+  std::map<NodeId, MemberId> awaiting;
+  for (const auto& [node, sender] : hello_senders_) {
+    if (now >= sender.heard_at + options_.hello_lifetime() ||
+        log_.membership().Contains(sender.member)) {
+      continue;
+    }
+    awaiting[node] = sender.member;
+  }
   return awaiting;
 }
 
@@ -150,9 +154,7 @@
   StartPreVote(now);
 }
 
-void Replica::OnBody(const Message& message,
-                     const Hello& body,
-                     TimePoint /*now*/) {
+void Replica::OnBody(const Message& message, const Hello& body, TimePoint now) {
   const bool is_new = message.cluster == ClusterId(0);
   if (is_new) {
     Queue(message.from,
@@ -162,9 +164,13 @@
   // A folder of another log, or of an earlier epoch, can't follow this one.
   const bool can_join = is_new || (message.cluster == hard_state_.cluster &&
                                    message.epoch == hard_state_.epoch);
-  if (!is_blank() && can_join) {
-    hello_senders_[message.from.node] = message.from;
+  if (is_blank() || !can_join) {
+    return;
   }
+  std::erase_if(hello_senders_, [&](const auto& item) {
+    return now >= item.second.heard_at + options_.hello_lifetime();
+  });
+  hello_senders_[message.from.node] = {message.from, now};
 }
 
 void Replica::OnBody(const Message& message,
--- a/src/libs/consensus/replica_options.h
+++ b/src/libs/consensus/replica_options.h
@@ -43,6 +43,9 @@
   // to these and to the initial voters.
   std::vector<NodeId> known_peers;
   Duration hello_interval = Milliseconds(500);
+  // How long a replica counts as asking for admission after its last Hello. One
+  // that was admitted, or terminated, sends none any more.
+  Duration hello_lifetime() const { return 5 * hello_interval; }
 
   // Duration of a leader lease, counted from the send time of the message that
   // a quorum acknowledged. With clocks within the drift bound, the lease ends
--- a/src/libs/scenario/replica_host_membership.cc
+++ b/src/libs/scenario/replica_host_membership.cc
@@ -49,7 +49,7 @@
   if (!is_wanted) {
     return;
   }
-  const auto waiting = replica_.awaiting_admission();
+  const auto waiting = replica_.awaiting_admission(network_.now());
   const auto successor = waiting.find(incoming->node);
   if (successor == waiting.end()) {
     return;
--- a/src/plugins/control/config_service.cc
+++ b/src/plugins/control/config_service.cc
@@ -465,7 +465,7 @@
   for (const consensus::Learner& learner : membership.learners) {
     status.members[learner.id.node] = "learner";
   }
-  for (const auto& [node, member] : replica.awaiting_admission()) {
+  for (const auto& [node, member] : replica.awaiting_admission(now)) {
     status.awaiting_admission.push_back(node);
   }
   return status;
--- a/src/plugins/control/config_service_membership.cc
+++ b/src/plugins/control/config_service_membership.cc
@@ -56,7 +56,7 @@
       !membership.learners.empty()) {
     return;
   }
-  const auto waiting = replica.awaiting_admission();
+  const auto waiting = replica.awaiting_admission(net::SteadyNow());
   const auto successor = waiting.find(incoming->node);
   if (successor == waiting.end()) {
     return;
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -199,7 +199,7 @@
     asking_.clear();
     return;
   }
-  const auto picture = consensus::MembershipStatusOf(driver_->replica());
+  const auto picture = consensus::MembershipStatusOf(driver_->replica(), now);
   if (is_membership_changing_ || !picture.has_value()) {
     return;
   }
@@ -294,9 +294,9 @@
 
 std::optional<std::size_t> ReplicaHost::unresponsive_voters() const {
   const TimePoint now = SteadyNow();
-  const auto status = driver_ == nullptr
-                          ? std::nullopt
-                          : consensus::MembershipStatusOf(driver_->replica());
+  const auto status = driver_ == nullptr ? std::nullopt
+                                         : consensus::MembershipStatusOf(
+                                               driver_->replica(), now);
   if (!status.has_value()) {
     return std::nullopt;
   }
--- a/tests/auto/consensus/admission_test.cc
+++ b/tests/auto/consensus/admission_test.cc
@@ -92,7 +92,7 @@
       managed_term_ = term;
     }
     const TimePoint now = cluster_.LocalTime(*leader);
-    const auto status = MembershipStatusOf(*leader->replica);
+    const auto status = MembershipStatusOf(*leader->replica, now);
     if (const auto change = manager_->Next(*status, now)) {
       cluster_.ChangeAt(leader->disk.self.node, *change);
     }
@@ -114,6 +114,41 @@
   return "";
 }
 
+// Guards against an acknowledged configuration that is lost with one disk: the
+// vote of a node that is gone was given to its first successor, which was gone
+// as well, and no later successor was ever admitted.
+TEST_CASE("each successor of one node gets its vote") {
+  for (const std::string first : {"a", "b", "c"}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(first);
+      CAPTURE(seed);
+      ManagedCluster managed(3, seed);
+      FakeCluster& cluster = managed.cluster();
+      std::string last = first;
+      for (const std::string successor : {"d", "e", "f", "g", "h"}) {
+        CAPTURE(successor);
+        managed.Replace(last, successor);
+        REQUIRE(managed.GetsVote(successor));
+        managed.Run(Seconds(1));
+        last = successor;
+      }
+      const RequestTicket change =
+          cluster.ProposeTo(cluster.leader()->disk.self.node);
+      REQUIRE(managed.RunUntil([&] { return cluster.IsAccepted(change); },
+                               Seconds(1)));
+      cluster.LoseDisk(NodeId(first == "b" ? "c" : "b"));
+      const auto is_recovered = [&] {
+        const FakeNode* leader = cluster.leader();
+        return leader != nullptr &&
+               leader->applied >= cluster.highest_accepted();
+      };
+      managed.Run(Seconds(2));
+      CHECK(managed.RunUntil(is_recovered, Seconds(10)));
+      CHECK(cluster.failure() == "");
+    }
+  }
+}
+
 // Guards against a log that stays one copy short although a node with a folder
 // of it runs: one that was replaced while it was away did not ask for admission
 // when it came back.
@@ -132,5 +167,46 @@
   }
 }
 
+// Guards against the replacement of one node that waits for that of another.
+TEST_CASE("two nodes of five are replaced beside each other") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    ManagedCluster managed(5, seed);
+    managed.cluster().Crash(NodeId("a"));
+    managed.Replace("c", "f");
+    managed.cluster().AddNode("g");
+    CHECK(managed.RunUntil(
+        [&] { return managed.IsVoter("f") && managed.IsVoter("g"); },
+        kAdmissionLimit));
+    CHECK(managed.cluster().failure() == "");
+  }
+}
+
+// Guards against a node that was removed while it could not answer, and that
+// nobody knows of when it can.
+TEST_CASE("a learner that was removed as unresponsive gets its vote later") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    ManagedCluster managed(3, seed);
+    FakeCluster& cluster = managed.cluster();
+    managed.Replace(FollowerOf(managed), "d");
+    const auto has_learner = [&](bool expected) {
+      const FakeNode* leader = cluster.leader();
+      return leader != nullptr &&
+             leader->replica->log().membership().learners.empty() != expected;
+    };
+    REQUIRE(managed.RunUntil([&] { return has_learner(true); }, Seconds(4)));
+    for (const char* name : {"a", "b", "c"}) {
+      cluster.Cut(NodeId("d"), NodeId(name));
+    }
+    REQUIRE(managed.RunUntil([&] { return has_learner(false); }, Seconds(8)));
+    CHECK(cluster.node("d").replica->is_blank() == false);
+    managed.Run(Seconds(5));
+    cluster.HealNetwork();
+    CHECK(managed.GetsVote("d"));
+    CHECK(cluster.failure() == "");
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::consensus
--- a/tests/auto/consensus/membership_test.cc
+++ b/tests/auto/consensus/membership_test.cc
@@ -212,8 +212,9 @@
       cluster.Run(Seconds(2));
       return cluster.IsAccepted(ticket);
     };
-    CHECK(cluster.leader()->replica->awaiting_admission().at(NodeId(name)) ==
-          id);
+    const FakeNode& leader = *cluster.leader();
+    CHECK(leader.replica->awaiting_admission(cluster.LocalTime(leader))
+              .at(NodeId(name)) == id);
     CHECK(change(AddLearner{id}));
     CHECK(change(PromoteLearner{id}));
   }
