A learner that does not become a voter makes way for another node

What users would see: the log stays one copy short, and the next lost disk takes the acknowledged configuration, while a node that could take the vote asks for it.

While another node asks, a learner is now removed after 2 s of silence, or after 6 s without having caught up; a learner that nobody needs is removed at once. Nodes that ask are tried in turn: those never tried first, then the one tried the longest ago, for a minute.

--- a/src/libs/consensus/member_manager.cc
+++ b/src/libs/consensus/member_manager.cc
@@ -1,6 +1,7 @@
 #include "libs/consensus/member_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "libs/consensus/replica.h"
 
@@ -8,16 +9,19 @@
 
 namespace {
 
-// Replaces a voter whose data folder was lost by the new folder of its node.
-std::optional<MembershipChange> ReplaceVoterWithLostFolder(
-    const MembershipStatus& status) {
+// How long an attempt to admit a folder counts when the next one is chosen.
+constexpr Duration kAttemptMemory = Seconds(60);
+
+// The voter whose data folder was lost, if `candidate` is the new folder of its
+// node.
+const MemberId* VoterOfSameNode(const MembershipStatus& status,
+                                const MemberId& candidate) {
   for (const MemberId& voter : status.membership.voters) {
-    const auto replacement = status.awaiting.find(voter.node);
-    if (replacement != status.awaiting.end()) {
-      return ReplaceVoter{voter, replacement->second};
+    if (voter.node == candidate.node) {
+      return &voter;
     }
   }
-  return std::nullopt;
+  return nullptr;
 }
 
 }  // namespace
@@ -48,6 +52,9 @@
     seen[id] = known == first_seen_.end() ? now : known->second;
   }
   first_seen_ = std::move(seen);
+  std::erase_if(tried_at_, [now](const auto& item) {
+    return now - item.second > kAttemptMemory;
+  });
 }
 
 Duration MemberManager::TimeSinceResponse(const MembershipStatus& status,
@@ -84,25 +91,88 @@
   return longest;
 }
 
-// Removes an unresponsive or superseded learner, which would block further
-// changes; promotes a learner if there are fewer voters than wanted.
+// Whether the learner can't become a voter, or keeps others from becoming one.
+bool MemberManager::MustRemoveLearner(const MembershipStatus& status,
+                                      const Learner& learner,
+                                      TimePoint now) const {
+  const bool has_new_folder = status.awaiting.count(learner.id.node) > 0;
+  const bool is_wanted = learner.replaces.has_value() ||
+                         status.membership.voters.size() < options_.voters;
+  const Duration silent_for = TimeSinceResponse(status, learner.id, now);
+  if (has_new_folder || !is_wanted || silent_for > options_.learner_timeout) {
+    return true;
+  }
+  const Duration member_for = now - first_seen_.at(learner.id);
+  return !status.awaiting.empty() && (silent_for > options_.voter_timeout ||
+                                      member_for > options_.learner_timeout);
+}
+
+// Removes a learner that would block further changes; promotes a learner if
+// there are fewer voters than wanted.
 std::optional<MembershipChange> MemberManager::NextLearnerChange(
     const MembershipStatus& status,
     TimePoint now) const {
   for (const Learner& learner : status.membership.learners) {
-    const bool has_new_folder = status.awaiting.count(learner.id.node) > 0;
-    if (has_new_folder ||
-        TimeSinceResponse(status, learner.id, now) > options_.learner_timeout) {
+    if (MustRemoveLearner(status, learner, now)) {
       return RemoveMember{learner.id};
     }
-    const bool is_wanted = status.membership.voters.size() < options_.voters;
-    if (!learner.replaces && is_wanted) {
+    if (!learner.replaces) {
       return PromoteLearner{learner.id};
     }
   }
   return std::nullopt;
 }
 
+// Those that were never tried come first, then the one whose last attempt is
+// the longest ago; among these, the new folders of voters.
+std::vector<MemberId> MemberManager::CandidatesInOrder(
+    const MembershipStatus& status) const {
+  const auto key_of = [&](const MemberId& id) {
+    const auto tried = tried_at_.find(id);
+    return std::pair(
+        tried == tried_at_.end() ? TimePoint::min() : tried->second,
+        VoterOfSameNode(status, id) == nullptr);
+  };
+  std::vector<MemberId> candidates;
+  candidates.reserve(status.awaiting.size());
+  for (const auto& [node, id] : status.awaiting) {
+    candidates.push_back(id);
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&](const MemberId& left, const MemberId& right) {
+                     return key_of(left) < key_of(right);
+                   });
+  return candidates;
+}
+
+std::optional<MembershipChange> MemberManager::AdmissionOf(
+    const MemberId& candidate,
+    const MembershipStatus& status,
+    TimePoint now) const {
+  if (const MemberId* lost = VoterOfSameNode(status, candidate)) {
+    return ReplaceVoter{*lost, candidate};
+  }
+  if (const MemberId* silent = UnresponsiveVoter(status, now)) {
+    return ReplaceVoter{*silent, candidate};
+  }
+  if (status.membership.voters.size() < options_.voters) {
+    return AddLearner{candidate};
+  }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange> MemberManager::NextAdmission(
+    const MembershipStatus& status,
+    TimePoint now) {
+  for (const MemberId& candidate : CandidatesInOrder(status)) {
+    if (auto change = AdmissionOf(candidate, status, now)) {
+      tried_at_[candidate] = now;
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<MembershipChange> MemberManager::Next(
     const MembershipStatus& status,
     TimePoint now) {
@@ -113,20 +183,7 @@
   if (!status.membership.learners.empty()) {
     return NextLearnerChange(status, now);
   }
-  if (auto change = ReplaceVoterWithLostFolder(status)) {
-    return change;
-  }
-  if (status.awaiting.empty()) {
-    return std::nullopt;
-  }
-  const MemberId& newcomer = status.awaiting.begin()->second;
-  if (const MemberId* silent = UnresponsiveVoter(status, now)) {
-    return ReplaceVoter{*silent, newcomer};
-  }
-  if (status.membership.voters.size() < options_.voters) {
-    return AddLearner{newcomer};
-  }
-  return std::nullopt;
+  return NextAdmission(status, now);
 }
 
 }  // namespace bilberryspool::consensus
--- a/src/libs/consensus/member_manager.h
+++ b/src/libs/consensus/member_manager.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "libs/base/time.h"
 #include "libs/consensus/membership.h"
@@ -29,10 +30,11 @@
   // Intended number of voters; 2 f + 1 voters tolerate the loss of f folders.
   std::size_t voters = 3;
   // A voter that has not responded within this time may be replaced by another
-  // node that asks for admission.
+  // node that asks for admission; a learner is removed if another one asks.
   Duration voter_timeout = Seconds(2);
-  // A learner that has not responded within this time is removed, so that the
-  // change it is part of does not block all others.
+  // A learner that has not responded within this time, or that has not caught
+  // up within it while another node asks, is removed, so that the change it is
+  // part of does not block all others.
   Duration learner_timeout = Seconds(6);
 };
 
@@ -69,6 +71,15 @@
   std::optional<MembershipChange> NextLearnerChange(
       const MembershipStatus& status,
       TimePoint now) const;
+  bool MustRemoveLearner(const MembershipStatus& status,
+                         const Learner& learner,
+                         TimePoint now) const;
+  std::optional<MembershipChange> NextAdmission(const MembershipStatus& status,
+                                                TimePoint now);
+  std::vector<MemberId> CandidatesInOrder(const MembershipStatus& status) const;
+  std::optional<MembershipChange> AdmissionOf(const MemberId& candidate,
+                                              const MembershipStatus& status,
+                                              TimePoint now) const;
   const MemberId* UnresponsiveVoter(const MembershipStatus& status,
                                     TimePoint now) const;
 
@@ -78,6 +89,9 @@
   // of the leadership term, it would look dead and be removed before its first
   // response, and the vote it should take over would never be replaced.
   std::map<MemberId, TimePoint> first_seen_;
+  // When each folder was last proposed for admission. One that asks but can't
+  // be reached would otherwise be tried again and again before all others.
+  std::map<MemberId, TimePoint> tried_at_;
 };
 
 }  // namespace bilberryspool::consensus
--- a/tests/auto/consensus/admission_test.cc
+++ b/tests/auto/consensus/admission_test.cc
@@ -182,6 +182,22 @@
   }
 }
 
+// Guards against a node that asks, but that the leader can't reach, and that is
+// tried again and again before the others that ask.
+TEST_CASE("a node that can't be reached does not keep another one out") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    ManagedCluster managed(3, seed);
+    managed.Replace(FollowerOf(managed), "d");
+    for (const char* name : {"a", "b", "c"}) {
+      managed.cluster().Cut(NodeId(name), NodeId("d"));
+    }
+    managed.cluster().AddNode("e");
+    CHECK(managed.GetsVote("e"));
+    CHECK(managed.cluster().failure() == "");
+  }
+}
+
 // Guards against a node that was removed while it could not answer, and that
 // nobody knows of when it can.
 TEST_CASE("a learner that was removed as unresponsive gets its vote later") {
--- a/tests/auto/consensus/member_manager_test.cc
+++ b/tests/auto/consensus/member_manager_test.cc
@@ -20,6 +20,7 @@
 const MemberId kThird = Member("c", 3);
 const MemberId kThirdNewFolder = Member("c", 33);
 const MemberId kNewcomer = Member("d", 4);
+const MemberId kOtherNewcomer = Member("e", 5);
 
 constexpr TimePoint kStart = TimeAt(Seconds(100));
 
@@ -105,6 +106,12 @@
        status.awaiting[kNewcomer.node] = Member("d", 44);
      },
      "remove d4"},
+    {"a learner that is no longer wanted",
+     [](MembershipStatus& status, TimePoint now) {
+       status.membership.learners = {{kNewcomer, std::nullopt}};
+       status.last_responses[kNewcomer] = now;
+     },
+     "remove d4"},
     {"a joint change in progress",
      [](MembershipStatus& status, TimePoint) {
        status.membership.outgoing = {kLeader, kFollower, kThird};
@@ -144,5 +151,60 @@
   CHECK(Describe(manager.Next(status, added + Seconds(7))) == "remove d4");
 }
 
+// Guards against a learner that is gone, or that answers but never catches up,
+// as one whose disk hangs, and that keeps every other node from being admitted.
+TEST_CASE("a learner that does not become a voter makes way for another node") {
+  struct Row {
+    const char* name;
+    Duration after;  // since it became a learner
+    bool is_answering;
+    bool does_other_ask;
+    const char* expected;
+  };
+  constexpr Row kRows[] = {
+      {"silent for a moment", Milliseconds(1900), false, true, "none"},
+      {"silent", Milliseconds(2400), false, true, "remove d4"},
+      {"silent, no other asks", Milliseconds(2400), false, false, "none"},
+      {"silent for long", Seconds(7), false, false, "remove d4"},
+      {"answers", Milliseconds(2400), true, true, "none"},
+      {"does not catch up", Seconds(7), true, true, "remove d4"},
+      {"does not catch up, no other asks", Seconds(7), true, false, "none"},
+  };
+  for (const Row& row : kRows) {
+    CAPTURE(row.name);
+    MemberManager manager{MemberManagerOptions{}};
+    MembershipStatus status = HealthyStatus(kStart);
+    status.membership.learners = {{kNewcomer, kThird}};
+    status.last_responses[kNewcomer] = kStart;
+    CHECK(Describe(manager.Next(status, kStart)) == "none");
+    const TimePoint now = kStart + row.after;
+    if (row.is_answering) {
+      status.last_responses[kNewcomer] = now;
+    }
+    if (row.does_other_ask) {
+      status.awaiting[kOtherNewcomer.node] = kOtherNewcomer;
+    }
+    CHECK(Describe(manager.Next(status, now)) == row.expected);
+  }
+}
+
+// Guards against a node that asks but can't be reached, and that is tried
+// before every other node each time.
+TEST_CASE("nodes that ask are tried in turn") {
+  MemberManager manager{MemberManagerOptions{}};
+  manager.Next(HealthyStatus(kStart), kStart);
+  const auto next_at = [&](Duration after) {
+    const TimePoint now = kStart + after;
+    MembershipStatus status = HealthyStatus(now);
+    status.last_responses[kThird] = kStart;
+    status.awaiting[kNewcomer.node] = kNewcomer;
+    status.awaiting[kOtherNewcomer.node] = kOtherNewcomer;
+    return Describe(manager.Next(status, now));
+  };
+  CHECK(next_at(Seconds(3)) == "replace c3 by d4");
+  CHECK(next_at(Seconds(6)) == "replace c3 by e5");
+  CHECK(next_at(Seconds(9)) == "replace c3 by d4");
+}
+
 }  // namespace
 }  // namespace bilberryspool::consensus
