Whether a node may act is checked where orders are sent

Cause: since GroupTask::Advance() asked on each report, some 700 a second, whether the node holds a lease, and that question counts answers of all voters.

Ruled out: that nothing calls Advance() again after a lapse of the lease, or that what it swallows is lost. The new test holds on in both respects.

Nothing is asked on reports any more.

group_task_test: a leader may not act for 0.1, 0.7 or 3 s from each order of a change on; it never asks more than 1,000 times in a pause (the sockets of its loop are served), and its group steps within 0.5 s of being allowed again.

--- a/src/plugins/control_node/group_task.cc
+++ b/src/plugins/control_node/group_task.cc
@@ -212,11 +212,6 @@
 
 // Sends due orders, and starts a plan as soon as the map may be changed.
 void GroupTask::Advance() {
-  // An order that this node may not send counts as unanswered and is due again
-  // at once, so that advancing would go round without a wait.
-  if (!may_act_()) {
-    return;
-  }
   const TimePoint now = SteadyNow();
   SendDue(now);
   if (switch_.phase() == SwitchPhase::kIdle && now >= plan_due_ &&
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -159,6 +159,10 @@
       const groups::MulticastOrder& multicast);
   groups::OrderAnswer ReadAnswer(int status) const;
   void OnAnswer(const groups::RankOrder& order, int status);
+  // Records the answers of the ranks of `part`; nothing: none has answered.
+  void OnAnswers(const PollingRound& part,
+                 const groups::RankOrder& order,
+                 const std::optional<groups::MulticastResult>& result);
   // These return the status of the engine's answer; 0: there is none.
   int Send(const groups::EngineOrder& order,
            const net::Endpoint& engine,
--- a/src/plugins/control_node/group_task_orders.cc
+++ b/src/plugins/control_node/group_task_orders.cc
@@ -157,6 +157,12 @@
     multicast.ranks.push_back({rank, addresses_.at(rank).ToString()});
   }
   Spawn([this, part, order, multicast = std::move(multicast)] {
+    if (!may_act_()) {
+      // As in SendOrder(). The next tick sends the order, if this node still
+      // leads; advancing would send it again at once, without a wait.
+      OnAnswers(part, order, std::nullopt);
+      return;
+    }
     const TimePoint asked = SteadyNow();
     auto answer = RequestAnswer(part, multicast);
     if (!answer.has_value() && part.reader.has_value() &&
@@ -166,16 +172,23 @@
     if (answer.has_value() && part.reader.has_value()) {
       SendToSilent(*part.reader, multicast, *answer);
     }
-    groups::RankOrder one = order;
-    for (std::size_t i = 0; i < part.ranks.size(); ++i) {
-      const bool has_status = answer.has_value() && i < answer->statuses.size();
-      one.rank = part.ranks[i];
-      OnAnswer(one, has_status ? static_cast<int>(answer->statuses[i]) : 0);
-    }
+    OnAnswers(part, order, answer);
     Advance();
   });
 }
 
+void GroupTask::OnAnswers(
+    const PollingRound& part,
+    const groups::RankOrder& order,
+    const std::optional<groups::MulticastResult>& result) {
+  groups::RankOrder one = order;
+  for (std::size_t i = 0; i < part.ranks.size(); ++i) {
+    const bool has_status = result.has_value() && i < result->statuses.size();
+    one.rank = part.ranks[i];
+    OnAnswer(one, has_status ? static_cast<int>(result->statuses[i]) : 0);
+  }
+}
+
 void GroupTask::SendToSilent(const net::Endpoint& reader,
                              const groups::MulticastOrder& multicast,
                              groups::MulticastResult& result) {
@@ -192,9 +205,6 @@
 std::optional<groups::MulticastResult> GroupTask::RequestAnswer(
     const PollingRound& part,
     const groups::MulticastOrder& multicast) {
-  if (!may_act_()) {
-    return std::nullopt;
-  }
   if (!part.reader.has_value()) {
     return multicaster_.Multicast(multicast);
   }
