A group's task acts only in the term that it was started in

What users would see: two tasks of one control node send orders to the same group. Read, not seen in a play: a node that loses the leadership and wins it again keeps the tasks of its earlier term until their calls have ended, and each answer makes such a task go on. Whether it may act was asked as "does this node lead", which is true again in the later term, so it sent its orders beside its successor's.

The question is now "does this node lead in the term in which the task was started" (LeadershipTerm::MayAct). Found while looking at what a control node goes on with when it may not act.

leadership_term_test, "work of an earlier term does not go on in a later one": with the former rule the row of the later term fails.

--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -66,8 +66,7 @@
     helpers_ = std::move(helpers);
     EraseFinishedTasks();
     const bool leads = node_.replica().is_leader();
-    const Term term =
-        leads ? node_.replica().driver()->replica().term() : Term();
+    const Term term = leads ? node_.replica().term() : Term();
     const LeadershipTerm::Verdict verdict =
         leadership_term_.Update(leads, term);
     if (verdict == LeadershipTerm::Verdict::kNotLeading) {
@@ -318,7 +317,11 @@
                                        protocol_, place.group, *engine,
                                        place.size, term_, first);
     task->SetHelpers(helpers_);
-    task->SetMayAct([this] { return node_.replica().is_leader(); });
+    task->SetMayAct([this, started = term_] {
+      const ReplicaHost& replica = node_.replica();
+      return LeadershipTerm::MayAct(replica.is_leader(), replica.term(),
+                                    started);
+    });
     log_.Info("Started managing a group.", {{"group", place.group.value()},
                                             {"ranks", place.size},
                                             {"term", term_.value()}});
--- a/src/plugins/control_node/leadership_term.h
+++ b/src/plugins/control_node/leadership_term.h
@@ -25,6 +25,11 @@
     kNewTerm,     // leads in a new term
   };
 
+  // Whether work that was started in `started` may go on now.
+  static bool MayAct(bool leads, Term now, Term started) {
+    return leads && now == started;
+  }
+
   Verdict Update(bool leads, Term term) {
     if (!leads) {
       return Verdict::kNotLeading;
--- a/src/plugins/control_node/replica_host.cc
+++ b/src/plugins/control_node/replica_host.cc
@@ -287,6 +287,10 @@
   return driver_ != nullptr && driver_->is_leader(SteadyNow());
 }
 
+Term ReplicaHost::term() const {
+  return driver_ == nullptr ? Term() : driver_->replica().term();
+}
+
 bool ReplicaHost::is_member() const {
   return driver_ != nullptr && driver_->replica().log().membership().Contains(
                                    driver_->replica().self());
--- a/src/plugins/control_node/replica_host.h
+++ b/src/plugins/control_node/replica_host.h
@@ -44,6 +44,8 @@
   // Null while the data folder is being reopened.
   control::ReplicaDriver* driver() { return driver_.get(); }
   bool is_leader() const;
+  // The term that this node knows of; Term() without a data folder.
+  Term term() const;
   // Whether this node's data folder is in the log's membership, as far as it
   // knows.
   bool is_member() const;
--- a/tests/auto/control_node/leadership_term_test.cc
+++ b/tests/auto/control_node/leadership_term_test.cc
@@ -28,6 +28,22 @@
   CHECK(leadership_term.Update(true, Term(6)) == Verdict::kSameTerm);
 }
 
+// Guards against two tasks of one node that send orders to the same group: one
+// of an earlier term went on as soon as the node led again.
+TEST_CASE("work of an earlier term does not go on in a later one") {
+  struct Row {
+    bool leads;
+    Term now;
+    bool expected;
+  };
+  for (const Row& row :
+       {Row{true, Term(4), true}, Row{false, Term(4), false},
+        Row{true, Term(6), false}, Row{false, Term(), false}}) {
+    CAPTURE(row.now.value());
+    CHECK(LeadershipTerm::MayAct(row.leads, row.now, Term(4)) == row.expected);
+  }
+}
+
 TEST_CASE("a node that has never led starts with a new term") {
   LeadershipTerm leadership_term;
   CHECK(leadership_term.Update(false, Term()) == Verdict::kNotLeading);
