Loads of groups are followed only where gateways hear of them

The leader worked out the load of each group 40 times a second and followed the passes in each report, also where the settings keep loads from gateways (groups.share_loads, off on the users' platform), and dropped the result.

No decision changes: rooms and loads are only read by LoadOf().

--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -110,6 +110,8 @@
   // Offers the loads of the groups that this node leads, to be published when
   // that is due if the settings say so. Meant to be called periodically.
   void OfferGroupLoads(std::vector<group_loads::GroupLoad> loads);
+  // Whether the settings let gateways hear of the loads of groups.
+  bool shares_group_loads() const { return shares_group_loads_; }
   group_loads::GroupLoadPublisher& group_loads() { return group_loads_; }
 
   // Returns all known control nodes: the members of the log, and those that
--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -93,7 +93,9 @@
       task->AddSlowTargets(slow);
     }
     node_.SetSlowTargets(std::move(slow));
-    node_.OfferGroupLoads(CollectLoads(SteadyNow()));
+    if (node_.shares_group_loads()) {
+      node_.OfferGroupLoads(CollectLoads(SteadyNow()));
+    }
   }
 }
 
@@ -317,6 +319,7 @@
                                        protocol_, place.group, *engine,
                                        place.size, term_, first);
     task->SetHelpers(helpers_);
+    task->SetTracksPasses(node_.shares_group_loads());
     task->SetMayAct([this, started = term_] {
       const ReplicaHost& replica = node_.replica();
       return LeadershipTerm::MayAct(replica.is_leader(), replica.term(),
--- a/src/plugins/control_node/group_task.h
+++ b/src/plugins/control_node/group_task.h
@@ -63,6 +63,8 @@
   void SetMayAct(std::function<bool()> may_act) {
     may_act_ = std::move(may_act);
   }
+  // Whether passes are followed, which LoadOf() needs.
+  void SetTracksPasses(bool tracks_passes) { tracks_passes_ = tracks_passes; }
   // Sets the other control nodes that respond.
   void SetHelpers(std::vector<net::Endpoint> helpers) {
     schedule_.SetReaders(helpers);
@@ -204,6 +206,7 @@
     std::uint32_t waiting = 0;
   };
   std::map<RankIndex, RankLoad> loads_at_;
+  bool tracks_passes_ = false;
   group_loads::RoomEstimator room_;
   // The newest epoch that a rank reported, its last pass, and whether the group
   // is open in it.
--- a/src/plugins/control_node/group_task_readings.cc
+++ b/src/plugins/control_node/group_task_readings.cc
@@ -191,7 +191,9 @@
   silence_.OnResponse(rank, SteadyNow());
   loads_at_[rank] = {report.running, report.waiting};
   newest_step_ = report.step;
-  TrackPasses(report);
+  if (tracks_passes_) {
+    TrackPasses(report);
+  }
   switch_.OnReport(rank, report, as_of, responded_at);
 }
 
