A stream leaves a silent target only where the retry budget allows it

What callers saw: streams that are cut in the middle of their answer although their target goes on. The rule LOST says it: a runner's silence is no reason to end an answer sooner.

Cause: ReviewTarget() left a silent target first and asked the budget for the next send afterwards. For a slow target it asked first.

A stream that has begun now charges the next send before it leaves its target, and stays if it may not. What ends a wait at a target that is lost is unchanged (FindLoss(), the caller's time). A request without an event leaves at once, as before.

--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -96,6 +96,7 @@
   // Whether the target is unresponsive, so that a cancellation would not reach
   // it, and the caller is about to give up. Returns who found the target so.
   std::optional<LossReport> FindLoss(TimePoint now) const;
+  bool ChargeRetry();
   void AbandonTarget();
 
   // relay_call_answers.cc
--- a/src/plugins/gateway/relay_call_review.cc
+++ b/src/plugins/gateway/relay_call_review.cc
@@ -24,18 +24,26 @@
     return;
   }
   if (IsTargetSilent(now)) {
-    AbandonTarget();
+    // The target may only be stalled. Before the first event there is nothing
+    // to lose.
+    if (!has_stream_started_ || ChargeRetry()) {
+      AbandonTarget();
+    }
     return;
   }
-  // A stream that a slow target still serves must not end because the retry
-  // budget is used up.
   if (state_.targets.ShouldMoveRequests(current_target_, tried_targets_, now) &&
-      MayRetry()) {
-    is_retry_charged_ = true;
+      ChargeRetry()) {
     AbandonTarget();
   }
 }
 
+// A stream that its target may still serve must not end because the retry
+// budget is used up, so the next send is charged before the target is left.
+bool RelayCall::ChargeRetry() {
+  is_retry_charged_ = MayRetry();
+  return is_retry_charged_;
+}
+
 void RelayCall::AbandonTarget() {
   has_abandoned_target_ = true;
   CancelSend();
