Places at cold targets decide only where they are scarce

Cause: a step takes as long as its most loaded rank. Since a gateway chooses first among the targets where it has a place for cold targets, and by load only among those: of 72 targets it used about 40.

Places matter for a target that is known to be warm and turns cold before the news arrives. It can get more than it tolerates only if the gateways send a good part of what cold targets tolerate; here they send 3.5 requests a second to a target that tolerates 32. They decide now only if this gateway has sent half of what its places allow in the last interval. Cold targets, and those not heard of, are limited as before.

target_pool_test, "places at cold targets decide only where they are scarce": with the former rule the first choice is a target with a place and three requests instead of an idle one; now it holds. traffic_test 90 of 90, cold_targets_test 13 of 13.

--- a/src/libs/cold_targets/cold_start_limiter.cc
+++ b/src/libs/cold_targets/cold_start_limiter.cc
@@ -62,6 +62,23 @@
   return std::max({pause, used_at + kPlaceInterval - now, Duration::zero()});
 }
 
+ColdStartLimiter::PlaceUse ColdStartLimiter::UseOf(const ServiceId& service,
+                                                   const TargetId& target,
+                                                   TimePoint now) const {
+  PlaceUse use;
+  if (!IsLimited(service)) {
+    return use;
+  }
+  use.places = PlacesOf(service, target);
+  const auto found = sent_.find(target);
+  if (found != sent_.end()) {
+    use.sent = static_cast<std::uint64_t>(std::count_if(
+        found->second.begin(), found->second.end(),
+        [now](TimePoint sent_at) { return now - sent_at < kPlaceInterval; }));
+  }
+  return use;
+}
+
 void ColdStartLimiter::Tick(TimePoint now) {
   for (auto& [target, times] : sent_) {
     while (!times.empty() && now - times.front() >= kPlaceInterval) {
--- a/src/libs/cold_targets/cold_start_limiter.h
+++ b/src/libs/cold_targets/cold_start_limiter.h
@@ -64,6 +64,15 @@
   std::optional<Duration> WaitFor(const ServiceId& service,
                                   const TargetId& target,
                                   TimePoint now) const;
+  // What this gateway may send to a cold target in kPlaceInterval, and what it
+  // has sent there in the last one.
+  struct PlaceUse {
+    std::uint64_t places = 0;
+    std::uint64_t sent = 0;
+  };
+  PlaceUse UseOf(const ServiceId& service,
+                 const TargetId& target,
+                 TimePoint now) const;
   // Erases records that don't matter any more.
   void Tick(TimePoint now);
 
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -273,6 +273,9 @@
   bool IsReady(const Target& target) const;
   // Whether the target is cold, or has not said otherwise for a while.
   bool MayBeCold(const Target& target, TimePoint now) const;
+  // Whether this gateway sends a good part of what the service's targets would
+  // tolerate from it if all of them were cold.
+  bool AreColdPlacesScarce(const ServiceId& service, TimePoint now) const;
   bool IsPaused(const Target& target, TimePoint now) const {
     return pauses_.IsPaused(target.announcement.target,
                             target.announcement.incarnation, now);
--- a/src/libs/traffic/target_pool_choice.cc
+++ b/src/libs/traffic/target_pool_choice.cc
@@ -27,8 +27,12 @@
 // full, and before suspect ones.
 constexpr double kOtherGroupCost = 2.0;
 // A target that is known to be warm may turn cold before the news arrives, so
-// others come first if this gateway has no place there.
+// others come first if this gateway has no place there. This only matters where
+// the gateways send a good part of what cold targets tolerate: with less, no
+// target gets more than that, and choosing by place instead of by load gives
+// some ranks of a group so much more than others that every step takes longer.
 constexpr double kNoColdPlaceCost = 3.0;
+constexpr double kScarcePlaces = 0.5;
 // Spread of the choice among the ranks of a group, as a share of their slots:
 // all gateways hear of the same loads at the same time, and the rank with the
 // lowest load would get the requests of all until the next report.
@@ -183,6 +187,24 @@
   return kRankSpread * std::log(-std::log(draw));
 }
 
+bool TargetPool::AreColdPlacesScarce(const ServiceId& service,
+                                     TimePoint now) const {
+  if (!cold_starts_.IsLimited(service)) {
+    return false;
+  }
+  double places = 0.0;
+  double sent = 0.0;
+  for (const auto& [id, target] : targets_) {
+    if (target.announcement.service != service || !IsReady(target)) {
+      continue;
+    }
+    const auto use = cold_starts_.UseOf(service, id, now);
+    places += static_cast<double>(use.places);
+    sent += static_cast<double>(use.sent);
+  }
+  return sent >= kScarcePlaces * places;
+}
+
 bool TargetPool::IsSlow(const Target& target) const {
   const double pace = PaceOf(target);
   return pace > 1.0 && pace < kUnresponsivePace;
@@ -227,6 +249,7 @@
   Candidate best;
   const double mean_others_load = MeanOthersLoad(service, now);
   const auto group = ChooseGroup(service, now);
+  const bool are_places_scarce = AreColdPlacesScarce(service, now);
   for (auto& [id, target] : targets_) {
     const TargetAnnouncement& reported = target.announcement;
     if (reported.service != service || reported.address.empty() ||
@@ -263,7 +286,7 @@
     const double cost =
         CostOf(target, load, now) +
         (group.has_value() ? GroupCostOf(target, *group, now) : 0.0) +
-        (has_cold_place ? 0.0 : kNoColdPlaceCost);
+        (has_cold_place || !are_places_scarce ? 0.0 : kNoColdPlaceCost);
     if (best.target == nullptr || cost < best.cost) {
       best.target = &target;
       best.cost = cost;
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libs/traffic/target_pool.h"
 
@@ -104,6 +106,47 @@
   }
 }
 
+// Guards against ranks that get so much more than others that every step of
+// their group takes longer: while the load is a small part of what cold targets
+// tolerate, a gateway that has places at some of them only used just those.
+TEST_CASE("places at cold targets decide only where they are scarce") {
+  constexpr int kTargets = 24;
+  TargetPoolOptions options;
+  options.domain = FailureDomain("z1");
+  options.started_at = kStart - Seconds(60);
+  TargetPool pool(options, 7);
+  std::vector<TargetRecord> records;
+  records.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
+    records.push_back(Record("t" + std::to_string(i)));
+  }
+  pool.Update("c1", true, records, kStart);
+  pool.cold_starts().SetRates({{kService, 24.0}});
+  pool.cold_starts().SetSeat({0, 40, true});
+  std::uint64_t places = 0;
+  std::set<std::string> own;
+  for (const TargetRecord& record : records) {
+    const TargetId& target = record.announcement.target;
+    const auto use = pool.cold_starts().UseOf(kService, target, kStart);
+    places += use.places;
+    if (use.places > 0) {
+      own.insert(target.value());
+    }
+    pool.OnLoad(target, use.places > 0 ? 3 : 0, 0, kStart);
+  }
+  REQUIRE(own.size() > 4);
+  REQUIRE(own.size() < kTargets);
+  CHECK_FALSE(own.contains(Chosen(pool, kStart)));
+  // This gateway sends more than half of what its places allow.
+  const std::string busy = *own.begin();
+  for (std::uint64_t i = 0; i < places; ++i) {
+    pool.cold_starts().Take(kService, TargetId(busy), kStart);
+  }
+  const std::string chosen = Chosen(pool, kStart);
+  CHECK(chosen != busy);
+  CHECK(own.contains(chosen));
+}
+
 // Guards against sending more requests to a target than it accepts from all
 // gateways together.
 TEST_CASE(
