evacuation_test: requests are counted from before the loads start

Traced: the time from which requests count was taken after the loads had started, by starting Python, which takes long on a busy machine; and the wait for "more than 5 requests" also counted the probes before. With 0.4 s more in now_ms() it fails each time; with the time taken first and the wait counting from it, it passes. What is asked is the same: more than 5 requests at the domain between the start of the loads and the acknowledgement.

deployment.sh ends what a failed test has left in the background, so that the failure is told at once.

--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -36,6 +36,9 @@
     kill -CONT "${PIDS[$name]}" 2> /dev/null
     kill -KILL "${PIDS[$name]}" 2> /dev/null
   done
+  # Loads that a failed test has left in the background.
+  # shellcheck disable=SC2046
+  kill $(jobs -p) 2> /dev/null
   wait 2> /dev/null
   rm -rf "$RUN"
 }
--- a/tests/processes/platform/evacuation_test.sh
+++ b/tests/processes/platform/evacuation_test.sh
@@ -31,12 +31,12 @@
 }
 
 LOADS=""
+SENT_FROM="$(now_ms)"
 for i in $GATEWAYS; do
   send_until "$i" "$RUN/stop" &
   LOADS="$LOADS $!"
 done
-SENT_FROM="$(now_ms)"
-used_away() { [ "$(wc -l < "$RUN/requests-away")" -gt 5 ]; }
+used_away() { [ "$(runs_between "$RUN/requests-away" "$SENT_FROM" "$(now_ms)")" -gt 5 ]; }
 wait_until "the target in the other domain is used" used_away
 
 wait_until "the evacuation is acknowledged" is_evacuated 2
