The answer to a probe counts after its request has ended

Cause: silence is evidence only against a sidecar that has answered this gateway, so the first request to a target causes a probe. Where that request is shorter than the probe, its end forgot the probe, the answer was dropped, and the next probe of a sidecar that never answered is due 10 s later: for that long no frozen VM is found.

An answer now shows that there is a sidecar, whichever request the probe was sent for; an unanswered probe of an earlier request counts as little as before.

--- a/src/libs/traffic/target_probes.cc
+++ b/src/libs/traffic/target_probes.cc
@@ -69,15 +69,19 @@
                                     ProbeResult result,
                                     TimePoint now) {
   const auto found = targets_.find(probe.target);
-  if (found == targets_.end() || !found->second.probe.has_value() ||
-      found->second.probe->number != probe.number) {
+  if (found == targets_.end()) {
     return VmChange::kNone;
   }
   Target& target = found->second;
+  // There is a sidecar, whether or not the request that caused the probe has
+  // ended meanwhile.
+  target.has_answered = target.has_answered || result == ProbeResult::kAnswered;
+  if (!target.probe.has_value() || target.probe->number != probe.number) {
+    return VmChange::kNone;
+  }
   const Probe ended = *std::exchange(target.probe, std::nullopt);
   switch (result) {
     case ProbeResult::kAnswered:
-      target.has_answered = true;
       return Acquit(target);
     case ProbeResult::kNoEvidence:
       return VmChange::kNone;
--- a/tests/auto/traffic/target_probes_test.cc
+++ b/tests/auto/traffic/target_probes_test.cc
@@ -342,6 +342,30 @@
   CHECK_FALSE(probes.IsUnresponsive(kOther, At(1500)));
 }
 
+// Guards against callers who leave a frozen VM untold because the first request
+// to its target was shorter than the probe that it caused.
+TEST_CASE(
+    "an answer after the request has ended shows that there is a sidecar") {
+  TargetProbes probes{TargetProbesOptions{}};
+  probes.OnSent(kTarget, At(0));
+  const auto first = probes.Tick(At(0));
+  REQUIRE(first.size() == 1);
+  CHECK(probes.OnEnded(kTarget, At(1)));
+  CHECK(probes.OnProbeEnded(first.front(), ProbeResult::kAnswered, At(3)) ==
+        VmChange::kNone);
+  probes.OnSent(kTarget, At(200));
+  CHECK(probes.Tick(At(300)).empty());
+  bool is_found = false;
+  for (std::int64_t now = 400; now <= 1900; now += 100) {
+    for (const auto& probe : probes.Tick(At(now))) {
+      const VmChange change =
+          probes.OnProbeEnded(probe, ProbeResult::kUnanswered, At(now + 50));
+      is_found = is_found || change == VmChange::kUnresponsive;
+    }
+  }
+  CHECK(is_found);
+}
+
 // Guards against callers that are cut off from healthy engines because there is
 // no sidecar, or a firewall drops the probes.
 TEST_CASE("a sidecar that never answered is no evidence against its VM") {
--- a/tests/processes/platform/frozen_target_test.sh
+++ b/tests/processes/platform/frozen_target_test.sh
@@ -61,6 +61,8 @@
 lines_about_vm() { grep -c 'The VM of a target does not respond' "$RUN/gateway-1.out"; }
 trail() { grep "id=$1 " "$RUN/gateway-1.out"; }
 
+# The first probe of a sidecar may be caused by a request that is shorter.
+for n in $(seq 60); do call 1 /a/x "short-$n" -d order -o /dev/null; done
 for name in standin sidecar; do is_running "$name" || fail "$name has ended"; done
 SILENCE="$(silence_after_stop vm-frozen 4.0 "${PIDS[standin]}" "${PIDS[sidecar]}")"
 thaw standin
