A silent target that a stream has left counts as failed again

What callers saw: nothing in a test; requests went on to a target that had just been left as silent.

A slow target has not failed and gets no pause; a silent one has, and does.

Why a target was left is now said by a value of its own (LeaveReason).

--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -235,7 +235,7 @@
     return NotServed{SendResult::kNotSent, "no address"};
   }
   current_target_ = choice.target;
-  has_abandoned_target_ = false;
+  leave_reason_.reset();
   cancellation_ = std::make_shared<net::Cancellation>();
   state_.active_calls.insert(this);
   state_.prober.OnSent(choice.target, *endpoint, SteadyNow());
@@ -296,11 +296,11 @@
                      is_reported ? "the target answers nobody"
                                  : "the VM of the target does not respond"};
   }
-  if (has_abandoned_target_) {
+  if (leave_reason_.has_value()) {
     // A slow target has not failed.
-    FinishSend(choice, is_retry_charged_ ? TargetOutcome::kGood
-                                         : TargetOutcome::kFailed);
-    const std::string reason = is_retry_charged_ ? "slow" : "silent";
+    const bool is_slow = *leave_reason_ == LeaveReason::kSlow;
+    FinishSend(choice, is_slow ? TargetOutcome::kGood : TargetOutcome::kFailed);
+    const std::string reason = is_slow ? "slow" : "silent";
     send_log_ += " left:" + reason;
     return NotServed{SendResult::kUnknown, "left a target that is " + reason};
   }
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -97,7 +97,9 @@
   // it, and the caller is about to give up. Returns who found the target so.
   std::optional<LossReport> FindLoss(TimePoint now) const;
   bool ChargeRetry();
-  void AbandonTarget();
+  // Why a target was left for another one.
+  enum class LeaveReason { kSlow, kSilent };
+  void LeaveTarget(LeaveReason reason);
 
   // relay_call_answers.cc
   void AnswerNoTarget(traffic::NoChoice reason);
@@ -191,10 +193,10 @@
   // given.
   std::vector<quarantine::RequestFingerprint> permitted_;
   std::string trial_;
-  // The target of the present send, and whether that send was cancelled to try
-  // another target.
+  // The target of the present send, and why that send was cancelled to try
+  // another target, if it was.
   TargetId current_target_;
-  bool has_abandoned_target_ = false;
+  std::optional<LeaveReason> leave_reason_;
   // Set if the present send was cancelled because its target is unresponsive.
   std::optional<LossReport> loss_;
   // The retry budget has already been charged for the next send.
--- a/src/plugins/gateway/relay_call_review.cc
+++ b/src/plugins/gateway/relay_call_review.cc
@@ -20,20 +20,20 @@
   }
   const bool may_move_on =
       match_.route->may_repeat() && sends_ < match_.route->attempts;
-  if (!may_move_on || caller_disconnected_ || has_abandoned_target_) {
+  if (!may_move_on || caller_disconnected_ || leave_reason_.has_value()) {
     return;
   }
   if (IsTargetSilent(now)) {
     // The target may only be stalled. Before the first event there is nothing
     // to lose.
     if (!has_stream_started_ || ChargeRetry()) {
-      AbandonTarget();
+      LeaveTarget(LeaveReason::kSilent);
     }
     return;
   }
   if (state_.targets.ShouldMoveRequests(current_target_, tried_targets_, now) &&
       ChargeRetry()) {
-    AbandonTarget();
+    LeaveTarget(LeaveReason::kSlow);
   }
 }
 
@@ -44,8 +44,8 @@
   return is_retry_charged_;
 }
 
-void RelayCall::AbandonTarget() {
-  has_abandoned_target_ = true;
+void RelayCall::LeaveTarget(LeaveReason reason) {
+  leave_reason_ = reason;
   CancelSend();
 }
 
