A request takes its place at another target before it leaves one

Of 98 streams that gateways broke off before the failure domain is cut, other than at the end of their callers' time, 93 have the trail "200 left:..." and "no target to go on at": 20 of one gateway within 2 ms, when a whole group is silent.

Cause: a request left its target as soon as ShouldMoveRequests() found room somewhere, or as soon as the target was silent, and chose the next one afterwards.

A request now takes its place at the next target, charged to the retry budget, and then leaves; else it stays, and ends as before if its target is lost. It is only moved to a target that is neither slow nor suspect, did not fail recently and has room (TargetPool::ChooseToMove). A place that is not used is given back.

--- a/src/libs/limits/shared_retry_budget.cc
+++ b/src/libs/limits/shared_retry_budget.cc
@@ -19,19 +19,23 @@
   requests_.Add(now);
 }
 
-bool SharedRetryBudget::TryRetry(double slack_share, TimePoint now) {
+bool SharedRetryBudget::MayRetry(double slack_share, TimePoint now) const {
   const auto requests =
       IsFirstWindow(now)
           ? 0.0
           : static_cast<double>(requests_.AtLeastSince(now - options_.window));
   const auto retries = static_cast<double>(
       retries_.AtMostSince(now - options_.window - options_.max_send_delay));
-  if (retries + 1.0 >
-      options_.ratio * requests + UsableSlack(slack_share, now)) {
-    return false;
+  return retries + 1.0 <=
+         options_.ratio * requests + UsableSlack(slack_share, now);
+}
+
+bool SharedRetryBudget::TryRetry(double slack_share, TimePoint now) {
+  const bool may_retry = MayRetry(slack_share, now);
+  if (may_retry) {
+    retries_.Add(now);
   }
-  retries_.Add(now);
-  return true;
+  return may_retry;
 }
 
 double SharedRetryBudget::UsableSlack(double slack_share, TimePoint now) const {
--- a/src/libs/limits/shared_retry_budget.h
+++ b/src/libs/limits/shared_retry_budget.h
@@ -35,8 +35,10 @@
   SharedRetryBudget(SharedRetryBudgetOptions options, TimePoint started_at);
 
   void OnRequest(TimePoint now);
-  // Returns whether one retry may be sent now, and counts it if so.
-  // `slack_share` is this member's part of the slack per window; it may change.
+  // Returns whether one retry may be sent now. `slack_share` is this member's
+  // part of the slack per window; it may change.
+  bool MayRetry(double slack_share, TimePoint now) const;
+  // The same, and counts the retry if it may be sent.
   bool TryRetry(double slack_share, TimePoint now);
   // The part of `slack_share` that may be used now.
   double UsableSlack(double slack_share, TimePoint now) const;
--- a/src/libs/traffic/target_pool.cc
+++ b/src/libs/traffic/target_pool.cc
@@ -225,9 +225,8 @@
   if (found == targets_.end()) {
     return;
   }
-  liveness_.OnEnded(id);
+  OnNotSent(id);
   Target& target = found->second;
-  target.in_flight -= std::min<std::uint32_t>(target.in_flight, 1);
   switch (outcome) {
     case TargetOutcome::kGood:
       target.failures_in_row = 0;
@@ -252,6 +251,16 @@
                      options_.max_cooldown);
 }
 
+void TargetPool::OnNotSent(const TargetId& id) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) {
+    return;
+  }
+  liveness_.OnEnded(id);
+  Target& target = found->second;
+  target.in_flight -= std::min<std::uint32_t>(target.in_flight, 1);
+}
+
 void TargetPool::OnFirstByte(const TargetId& id,
                              Duration waited,
                              TimePoint now) {
--- a/src/libs/traffic/target_pool.h
+++ b/src/libs/traffic/target_pool.h
@@ -137,6 +137,14 @@
                        const std::set<TargetId>& tried,
                        TimePoint now);
   void OnEnded(const TargetId& target, TargetOutcome outcome, TimePoint now);
+  // Like Choose(), but only chooses a target to which a request may be moved
+  // that another one still has: one that is neither slow nor suspect, and did
+  // not fail recently. Must be followed by one OnEnded() or OnNotSent().
+  std::optional<Choice> ChooseToMove(const ServiceId& service,
+                                     const std::set<TargetId>& tried,
+                                     TimePoint now);
+  // The request of a choice was not sent after all.
+  void OnNotSent(const TargetId& target);
   // Records the load that a target reported with a response.
   void OnLoad(const TargetId& target,
               std::uint32_t running,
@@ -291,6 +299,10 @@
     bool is_any_paused = false;
     bool is_any_cold = false;
   };
+  // Counts a request as sent to the candidate.
+  Choice Take(const Candidate& candidate,
+              const ServiceId& service,
+              TimePoint now);
   // Why none of the known targets is chosen.
   static NoChoice ReasonOf(const Candidate& none);
   // Finds the cheapest target that may take a request, with or without the slow
--- a/src/libs/traffic/target_pool_choice.cc
+++ b/src/libs/traffic/target_pool_choice.cc
@@ -314,7 +314,23 @@
       (best.is_any_full && best.cost >= kCooldownCost)) {
     return ReasonOf(best);
   }
-  Target& chosen = *best.target;
+  return Take(best, service, now);
+}
+
+std::optional<Choice> TargetPool::ChooseToMove(const ServiceId& service,
+                                               const std::set<TargetId>& tried,
+                                               TimePoint now) {
+  const Candidate best =
+      FindCheapest(service, tried, /*may_be_slow=*/false, now);
+  const bool is_good = best.target != nullptr && best.cost < kSuspectCost;
+  return is_good ? std::optional<Choice>(Take(best, service, now))
+                 : std::nullopt;
+}
+
+Choice TargetPool::Take(const Candidate& candidate,
+                        const ServiceId& service,
+                        TimePoint now) {
+  Target& chosen = *candidate.target;
   ++chosen.in_flight;
   limits_.Take(chosen.announcement.run(), now);
   cold_starts_.Take(service, chosen.announcement.target, now);
@@ -323,7 +339,7 @@
     group_loads_.OnSent(chosen.announcement.group->group);
   }
   return Choice{chosen.announcement.target, chosen.announcement.incarnation,
-                chosen.announcement.address, best.load,
+                chosen.announcement.address, candidate.load,
                 chosen.announcement.slots};
 }
 
--- a/src/plugins/gateway/gateway_state.cc
+++ b/src/plugins/gateway/gateway_state.cc
@@ -89,6 +89,10 @@
   return retries.slack * kUsedSlack / static_cast<double>(retry_sharers);
 }
 
+bool GatewayState::MayRetry(const ServiceId& service, TimePoint now) {
+  return BudgetOf(service).MayRetry(retry_slack_share(), now);
+}
+
 bool GatewayState::TryRetry(const ServiceId& service, TimePoint now) {
   const bool is_allowed = BudgetOf(service).TryRetry(retry_slack_share(), now);
   metrics
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -42,7 +42,9 @@
 
   // This gateway's part of the retry budget of the service.
   limits::SharedRetryBudget& BudgetOf(const ServiceId& service);
-  // Returns whether one retry may be sent to the service now, and counts it.
+  // Returns whether one retry may be sent to the service now.
+  bool MayRetry(const ServiceId& service, TimePoint now);
+  // The same, and counts it.
   bool TryRetry(const ServiceId& service, TimePoint now);
   limits::SharedRetryBudget MakeBudget() const;
   // Records the number of gateways that a control node reports. Only an
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -46,6 +46,7 @@
   if (Admit()) {
     exchange_.NotifyOnDisconnect([this] { OnCallerDisconnected(); });
     Relay();
+    ReleaseNextTarget();
   }
   --state_.requests_in_progress;
 }
@@ -102,9 +103,7 @@
     if (!AwaitRunPermission()) {
       return;
     }
-    state_.grants.AcquireGrant(service_, tried_targets_);
-    const auto chosen =
-        state_.targets.Choose(service_, tried_targets_, SteadyNow());
+    const auto chosen = ChooseTarget();
     if (const auto* reason = std::get_if<traffic::NoChoice>(&chosen)) {
       EndTrials();
       AnswerNoTarget(*reason);
@@ -138,6 +137,22 @@
   }
 }
 
+traffic::ChoiceOutcome RelayCall::ChooseTarget() {
+  if (next_choice_.has_value()) {
+    return *std::exchange(next_choice_, std::nullopt);
+  }
+  state_.grants.AcquireGrant(service_, tried_targets_);
+  return state_.targets.Choose(service_, tried_targets_, SteadyNow());
+}
+
+// The request may have ended before its next send.
+void RelayCall::ReleaseNextTarget() {
+  if (next_choice_.has_value()) {
+    state_.targets.OnNotSent(next_choice_->target);
+    next_choice_.reset();
+  }
+}
+
 // Callers wait for a group that is about to form: if they were refused now,
 // they would retry only seconds later.
 bool RelayCall::AwaitGroup() {
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -63,6 +63,9 @@
   // Whether the request is urgent enough for the load of its service. Refuses
   // it otherwise.
   bool PassUrgencyGate();
+  // The target of the next send: the one that is reserved, or a new choice.
+  traffic::ChoiceOutcome ChooseTarget();
+  void ReleaseNextTarget();
   // The next step after a failed send.
   traffic::RelayStep StepAfter(const NotServed& failed);
   SendOutcome SendTo(const traffic::Choice& choice);
@@ -96,7 +99,10 @@
   // Whether the target is unresponsive, so that a cancellation would not reach
   // it, and the caller is about to give up. Returns who found the target so.
   std::optional<LossReport> FindLoss(TimePoint now) const;
-  bool ChargeRetry();
+  // Takes a place at another target and charges the retry budget for it, if
+  // both allow. A request must not leave a target that may still serve it
+  // before that.
+  bool ReserveNextTarget(TimePoint now);
   // Why a target was left for another one.
   enum class LeaveReason { kSlow, kSilent };
   void LeaveTarget(LeaveReason reason);
@@ -197,6 +203,8 @@
   // another target, if it was.
   TargetId current_target_;
   std::optional<LeaveReason> leave_reason_;
+  // A place that is taken at the target of the next send.
+  std::optional<traffic::Choice> next_choice_;
   // Set if the present send was cancelled because its target is unresponsive.
   std::optional<LossReport> loss_;
   // The retry budget has already been charged for the next send.
--- a/src/plugins/gateway/relay_call_review.cc
+++ b/src/plugins/gateway/relay_call_review.cc
@@ -26,22 +26,24 @@
   if (IsTargetSilent(now)) {
     // The target may only be stalled. Before the first event there is nothing
     // to lose.
-    if (!has_stream_started_ || ChargeRetry()) {
+    if (!has_stream_started_ || ReserveNextTarget(now)) {
       LeaveTarget(LeaveReason::kSilent);
     }
     return;
   }
   if (state_.targets.ShouldMoveRequests(current_target_, tried_targets_, now) &&
-      ChargeRetry()) {
+      ReserveNextTarget(now)) {
     LeaveTarget(LeaveReason::kSlow);
   }
 }
 
-// A stream that its target may still serve must not end because the retry
-// budget is used up, so the next send is charged before the target is left.
-bool RelayCall::ChargeRetry() {
-  is_retry_charged_ = MayRetry();
-  return is_retry_charged_;
+bool RelayCall::ReserveNextTarget(TimePoint now) {
+  if (!state_.MayRetry(service_, now)) {
+    return false;
+  }
+  next_choice_ = state_.targets.ChooseToMove(service_, tried_targets_, now);
+  is_retry_charged_ = next_choice_.has_value() && MayRetry();
+  return next_choice_.has_value();
 }
 
 void RelayCall::LeaveTarget(LeaveReason reason) {
--- a/tests/auto/traffic/target_pool_test.cc
+++ b/tests/auto/traffic/target_pool_test.cc
@@ -106,6 +106,58 @@
   }
 }
 
+// Guards against streams that leave their target for one that can't serve them,
+// or for none.
+TEST_CASE("a request is only moved to a target that is well and has room") {
+  struct Row {
+    const char* name;
+    void (*modify)(TargetPool& pool);
+    const char* expected;
+  };
+  const Row rows[] = {
+      {"well", [](TargetPool&) {}, "b"},
+      {"full",
+       [](TargetPool& pool) { pool.OnLoad(TargetId("b"), 6, 0, kStart); },
+       "none"},
+      {"slow",
+       [](TargetPool& pool) {
+         pool.SetSlow("c1", {{"b:80", 3.0}});
+       },
+       "none"},
+      {"failed recently",
+       [](TargetPool& pool) {
+         Chosen(pool, kStart, {TargetId("a")});
+         pool.OnEnded(TargetId("b"), TargetOutcome::kFailed, kStart);
+       },
+       "none"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    TargetPool pool = MakePool();
+    pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+    row.modify(pool);
+    const auto choice =
+        pool.ChooseToMove(kService, {TargetId("a")}, kStart + Milliseconds(1));
+    CHECK((choice ? choice->target.value() : "none") == row.expected);
+  }
+}
+
+// Guards against places that stay taken by requests that were never sent.
+TEST_CASE("a place that is not used is free again") {
+  TargetPool pool = MakePool();
+  pool.Update("c1", true, {Record("a"), Record("b")}, kStart);
+  const std::set<TargetId> tried{TargetId("a")};
+  int places = 0;
+  while (pool.ChooseToMove(kService, tried, kStart).has_value()) {
+    ++places;
+    REQUIRE(places < 100);
+  }
+  REQUIRE(places > 0);
+  pool.OnNotSent(TargetId("b"));
+  CHECK(pool.ChooseToMove(kService, tried, kStart).has_value());
+  CHECK_FALSE(pool.ChooseToMove(kService, tried, kStart).has_value());
+}
+
 // Guards against ranks that get so much more than others that every step of
 // their group takes longer: while the load is a small part of what cold targets
 // tolerate, a gateway that has places at some of them only used just those.
--- a/tests/processes/platform/silent_target_test.sh
+++ b/tests/processes/platform/silent_target_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against streams that are cut although their target goes on: it was
-# silent for a moment, they left it, and the retry budget then allowed no other.
+# silent for a moment, they left it, and the retry budget, or the room of the
+# other target, then allowed no other.
 . "$(dirname "$0")/deployment_on_platform.sh"
 
 sed -i 's/^retries.ratio = .*/retries.ratio = 0/; s/^retries.slack = .*/retries.slack = 0/' "$RUN/gateway-1.toml"
@@ -50,4 +51,6 @@
 play 2 room 6
 trails room | grep -q 'left:silent;' || fail "no stream has left the frozen target"
 trails room | grep -q 'left:slow' && fail "a silent target is taken for a slow one"
+# Each target takes 10 requests, so that few of the streams have room at the other.
+play 2 no-room 16
 echo "passed"
