--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -557,6 +557,15 @@
   }
   // No more check-ins.
   void StopBeats() { beats_ = false; }
+  // Reports that it is draining until that is acknowledged, then withdraws.
+  void Drain() {
+    state_ = "draining";
+    Tell("PUT", Announcement());
+  }
+  void Withdraw() {
+    beats_ = false;
+    Tell("DELETE", "");
+  }
   // As the end of the process: no more connections, the present ones end.
   void Exit() {
     beats_ = false;
@@ -574,9 +583,21 @@
     return "{\"service\":\"" + service_ + "\",\"address\":\"" +
            address_.text() + "\",\"zone\":\"" + zone_ +
            "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
-           ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
+           ",\"state\":\"" + std::string(state_) + "\",\"cold_remaining_ms\":0,\"sequence\":" +
            std::to_string(++sequence_) + "}";
   }
+  void Tell(const std::string& method, const std::string& body) {
+    for (int i = 0; i < 10; ++i) {
+      auto& controls = platform_.controls();
+      const auto answer = Call(platform_.control_of(*controls[i % controls.size()]),
+                               method, "/instances/" + id_, body, 1);
+      if (answer.has_value() && answer->status() == 200) {
+        record_.Line("runner %s: %s %s is acknowledged", id_.c_str(),
+                     method.c_str(), method == "PUT" ? state_.load() : "");
+        return;
+      }
+    }
+  }
   // Beats go to one node until one fails there.
   void Beat() {
     std::size_t node = static_cast<std::size_t>(address_.ip.back());
@@ -650,6 +671,7 @@
   int slots_;
   Run run_;
   int listener_ = -1;
+  std::atomic<const char*> state_{"ready"};
   std::atomic<bool> beats_{true};
   std::atomic<bool> has_exited_{false};
   std::atomic<std::uint64_t> sequence_{0};
