--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,5 +1,5 @@
-// The only tenant's keys are taken away, one after the other; with the last one
-// the tenant goes, too.
+// The only tenant's keys are taken away, one after the other; then the tenant is
+// taken off the list.
 
 #include "../common-2/harness.h"
 
@@ -98,8 +98,16 @@
     }
     Sleep(kConfigApply + 0.5);
     wrong += send("key-one");
+    if (!platform->PutConfig(
+            Config(12, R"([{"name":"t-mill","api_keys":[],"priority":1}])"), 5)) {
+      fail("the second revocation was not acknowledged");
+    }
+    Sleep(kConfigApply + 0.5);
+    wrong += send("key-one");
+    wrong += send("key-two");
+    record.Line("with both keys taken away, %d requests ran", wrong);
     if (!platform->PutConfig(Config(14, "[]"), 5)) {
-      Finish(platform, record, 0, "the second revocation was not acknowledged");
+      Finish(platform, record, 0, "the last change was not acknowledged");
     }
     Sleep(kConfigApply + 0.5);
     for (int i = 0; i < 3; ++i) {
