--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -10,7 +10,8 @@
 constexpr int kGateways = 9;
 constexpr double kServesAfterAck = 14.0;
 
-const char kConfig[] = R"({"version":3,"routes":[{"name":"r-ack","host":"ack.example","path_prefix":"/ack/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"dispatch","attempts":1,"allow_anonymous":true,"sticky_sessions":false,"resume_streams":false}],"services":[{"name":"dispatch","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+const char kConfig[] =
+    R"({"version":3,"routes":[{"name":"r-ack","host":"ack.example","path_prefix":"/ack/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"dispatch","attempts":1,"allow_anonymous":true,"sticky_sessions":false,"resume_streams":false}],"services":[{"name":"dispatch","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
 struct Counts {
   std::mutex mutex;
@@ -55,13 +56,18 @@
     });
   }
 
-  for (Machine* machine : platform->controls()) platform->Start(*machine);
-  for (Machine* machine : platform->gateways()) platform->Start(*machine);
-  if (!platform->PutConfig(kConfig, 20)) fail("no config was acknowledged");
+  for (Machine* machine : platform->controls())
+    platform->Start(*machine);
+  for (Machine* machine : platform->gateways())
+    platform->Start(*machine);
+  if (!platform->PutConfig(kConfig, 20))
+    fail("no config was acknowledged");
   for (auto& runner : runners) {
-    if (!runner->Start()) fail("a runner could not listen");
+    if (!runner->Start())
+      fail("a runner could not listen");
   }
-  if (!platform->AwaitReady(20)) fail("the gateways were not ready");
+  if (!platform->AwaitReady(20))
+    fail("the gateways were not ready");
   Sleep(2.0);
 
   // Clients: one at each gateway, a request each 0.2 s on a kept connection.
@@ -85,8 +91,10 @@
         const std::string id =
             "c" + std::to_string(g + 1) + "-" + std::to_string(n);
         record.Line("client sends %s to edge-%d", id.c_str(), g + 1);
-        SendAll(fd, "POST /ack/x HTTP/1.1\r\nHost: ack.example\r\n"
-                    "Bilberryspool-Attempt-Id: " + id +
+        SendAll(fd,
+                "POST /ack/x HTTP/1.1\r\nHost: ack.example\r\n"
+                "Bilberryspool-Attempt-Id: " +
+                    id +
                     "\r\nBilberryspool-Deadline-Ms: 4000\r\n"
                     "Content-Length: 4\r\n\r\nwork");
         const auto answer = reader->Read(Now() + 4, true);
@@ -94,8 +102,9 @@
         record.Line("client got %d for %s", status, id.c_str());
         {
           std::lock_guard<std::mutex> lock(counts.mutex);
-          ++(status == 200 ? counts.answered
-                           : status == 503 ? counts.refused : counts.failed);
+          ++(status == 200   ? counts.answered
+             : status == 503 ? counts.refused
+                             : counts.failed);
         }
         if (!answer.has_value() || answer->field("connection") == "close") {
           close(fd);
@@ -103,7 +112,8 @@
         }
         Sleep(0.2);
       }
-      if (fd >= 0) close(fd);
+      if (fd >= 0)
+        close(fd);
     });
   }
   Sleep(4.0);
@@ -132,12 +142,15 @@
   }
   record.Line("runner %s is acknowledged as gone at %.4f", leaving.id().c_str(),
               acknowledged_at);
-  if (!is_acknowledged) fail("the withdrawal was not acknowledged");
+  if (!is_acknowledged)
+    fail("the withdrawal was not acknowledged");
   double stable_from = acknowledged_at;
   if (has_trouble) {
-    for (Machine* machine : platform->controls()) platform->End(*machine, SIGKILL);
+    for (Machine* machine : platform->controls())
+      platform->End(*machine, SIGKILL);
     Sleep(0.4);
-    for (Machine* machine : platform->controls()) platform->Start(*machine);
+    for (Machine* machine : platform->controls())
+      platform->Start(*machine);
     stable_from = Now() + platform->bounds().stable_window_ms / 1000.0;
   }
   Sleep(acknowledged_at + kServesAfterAck - Now());
@@ -145,14 +158,16 @@
   record.Line("runner %s exits", leaving.id().c_str());
   Sleep(1.0);
   go_on = false;
-  for (std::thread& client : clients) client.join();
+  for (std::thread& client : clients)
+    client.join();
 
   // DRAIN, at machines in touch only: the core has been stable for the whole
   // window, and the request arrives later than drain_ms after the
   // acknowledgement.
   const double from =
       std::max(acknowledged_at + platform->bounds().drain_ms / 1000.0,
-               stable_from) + 0.2;
+               stable_from) +
+      0.2;
   int late = 0, before = 0;
   {
     std::lock_guard<std::mutex> lock(arrivals_mutex);
@@ -160,16 +175,19 @@
       before += arrival.at < acknowledged_at;
       if (arrival.at > from) {
         ++late;
-        record.Line("late: %s reached runner %s %.3f s after the acknowledgement",
-                    arrival.id.c_str(), leaving.id().c_str(),
-                    arrival.at - acknowledged_at);
+        record.Line(
+            "late: %s reached runner %s %.3f s after the acknowledgement",
+            arrival.id.c_str(), leaving.id().c_str(),
+            arrival.at - acknowledged_at);
       }
     }
   }
   record.Line("clients: %d answered, %d refused, %d failed", counts.answered,
               counts.refused, counts.failed);
-  if (before == 0) fail("the runner got no request before it left");
+  if (before == 0)
+    fail("the runner got no request before it left");
   Finish(platform, record, late > 0 ? 1 : 0,
-         std::to_string(late) + " requests reached a runner over drain_ms after "
-         "it was acknowledged as gone, from machines in touch");
+         std::to_string(late) +
+             " requests reached a runner over drain_ms after "
+             "it was acknowledged as gone, from machines in touch");
 }
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,5 +1,5 @@
-// The only tenant's keys are taken away, one after the other; then the tenant is
-// taken off the list.
+// The only tenant's keys are taken away, one after the other; then the tenant
+// is taken off the list.
 
 #include "../common-2/harness.h"
 
@@ -49,17 +49,23 @@
       return SendAll(fd, WholeAnswer(request, "done"));
     });
   }
-  for (Machine* machine : platform->controls()) platform->Start(*machine);
-  for (Machine* machine : platform->gateways()) platform->Start(*machine);
+  for (Machine* machine : platform->controls())
+    platform->Start(*machine);
+  for (Machine* machine : platform->gateways())
+    platform->Start(*machine);
   if (!platform->PutConfig(
-          Config(3, R"([{"name":"t-mill","api_keys":["key-one","key-two"],"priority":1}])"),
+          Config(
+              3,
+              R"([{"name":"t-mill","api_keys":["key-one","key-two"],"priority":1}])"),
           20)) {
     fail("no config was acknowledged");
   }
   for (auto& runner : runners) {
-    if (!runner->Start()) fail("a runner could not listen");
+    if (!runner->Start())
+      fail("a runner could not listen");
   }
-  if (!platform->AwaitReady(20)) fail("the gateways were not ready");
+  if (!platform->AwaitReady(20))
+    fail("the gateways were not ready");
   Sleep(4.0);
 
   int number = 0;
@@ -73,10 +79,11 @@
       if (fd >= 0) {
         record.Line("client sends %s with %s to edge-%d", id.c_str(),
                     key.c_str(), g + 1);
-        SendAll(fd, "GET /read/x HTTP/1.1\r\nHost: read.example\r\n"
-                    "Bilberryspool-Attempt-Id: " + id +
-                    "\r\nBilberryspool-Deadline-Ms: 4000\r\nApi-Key: " + key +
-                    "\r\n\r\n");
+        SendAll(fd,
+                "GET /read/x HTTP/1.1\r\nHost: read.example\r\n"
+                "Bilberryspool-Attempt-Id: " +
+                    id + "\r\nBilberryspool-Deadline-Ms: 4000\r\nApi-Key: " +
+                    key + "\r\n\r\n");
         const auto answer = Reader(fd).Read(Now() + 4, true);
         status = answer.has_value() ? answer->status() : 0;
         close(fd);
@@ -89,17 +96,22 @@
     }
     return count;
   };
-  if (send("key-one") == 0 || send("key-two") == 0) fail("no request ran");
+  if (send("key-one") == 0 || send("key-two") == 0)
+    fail("no request ran");
   int wrong = send("key-never-held");
   if (has_trouble) {
     if (!platform->PutConfig(
-            Config(9, R"([{"name":"t-mill","api_keys":["key-two"],"priority":1}])"), 5)) {
+            Config(
+                9,
+                R"([{"name":"t-mill","api_keys":["key-two"],"priority":1}])"),
+            5)) {
       fail("the first revocation was not acknowledged");
     }
     Sleep(kConfigApply + 0.5);
     wrong += send("key-one");
     if (!platform->PutConfig(
-            Config(12, R"([{"name":"t-mill","api_keys":[],"priority":1}])"), 5)) {
+            Config(12, R"([{"name":"t-mill","api_keys":[],"priority":1}])"),
+            5)) {
       fail("the second revocation was not acknowledged");
     }
     Sleep(kConfigApply + 0.5);
@@ -116,8 +128,8 @@
       wrong += send("key-never-held");
       Sleep(0.5);
     }
-    const auto read = Call(platform->control_of(*platform->controls()[0]), "GET",
-                           "/config", "", 2);
+    const auto read = Call(platform->control_of(*platform->controls()[0]),
+                           "GET", "/config", "", 2);
     record.Line("operator reads: %s",
                 read.has_value() ? read->body.c_str() : "nothing");
   } else {
@@ -128,6 +140,7 @@
     }
   }
   Finish(platform, record, wrong > 0 ? 1 : 0,
-         std::to_string(wrong) + " requests ran with a key that was taken away "
-         "over config_apply_ms before, or that no config ever held");
+         std::to_string(wrong) +
+             " requests ran with a key that was taken away "
+             "over config_apply_ms before, or that no config ever held");
 }
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -49,15 +49,19 @@
       return SendAll(fd, WholeAnswer(request, "done"));
     });
   }
-  for (Machine* machine : platform->controls()) platform->Start(*machine);
-  for (Machine* machine : platform->gateways()) platform->Start(*machine);
+  for (Machine* machine : platform->controls())
+    platform->Start(*machine);
+  for (Machine* machine : platform->gateways())
+    platform->Start(*machine);
   if (!platform->PutConfig(Config(3, ""), 20)) {
     fail("no config was acknowledged");
   }
   for (auto& runner : runners) {
-    if (!runner->Start()) fail("a runner could not listen");
+    if (!runner->Start())
+      fail("a runner could not listen");
   }
-  if (!platform->AwaitReady(20)) fail("the gateways were not ready");
+  if (!platform->AwaitReady(20))
+    fail("the gateways were not ready");
   Sleep(4.0);
 
   int number = 0;
@@ -73,8 +77,8 @@
         record.Line("client sends %s to edge-%d, Host: %s", id.c_str(), g + 1,
                     host.c_str());
         SendAll(fd, "GET " + path + " HTTP/1.1\r\nHost: " + host +
-                    "\r\nBilberryspool-Attempt-Id: " + id +
-                    "\r\nBilberryspool-Deadline-Ms: 4000\r\n\r\n");
+                        "\r\nBilberryspool-Attempt-Id: " + id +
+                        "\r\nBilberryspool-Deadline-Ms: 4000\r\n\r\n");
         const auto answer = Reader(fd).Read(Now() + 4, true);
         status = answer.has_value() ? answer->status() : 0;
         close(fd);
@@ -84,11 +88,14 @@
     }
     return count;
   };
-  if (send("read.example", "/read/x", 200) != kGateways) fail("nothing was served");
+  if (send("read.example", "/read/x", 200) != kGateways)
+    fail("nothing was served");
   int refused = 0;
   if (has_trouble) {
     if (!platform->PutConfig(
-            Config(9, R"(,{"name":"r-kiln","host":"Kiln.Example","path_prefix":"/kiln/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"dispatch","attempts":2,"allow_anonymous":true,"sticky_sessions":false,"resume_streams":false})"),
+            Config(
+                9,
+                R"(,{"name":"r-kiln","host":"Kiln.Example","path_prefix":"/kiln/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"dispatch","attempts":2,"allow_anonymous":true,"sticky_sessions":false,"resume_streams":false})"),
             5)) {
       Finish(platform, record, 0, "the change was not acknowledged");
     }
@@ -98,8 +105,8 @@
       Sleep(0.2);
     }
     refused += send("kiln.example", "/kiln/x", 404);
-    const auto read = Call(platform->control_of(*platform->controls()[0]), "GET",
-                           "/config", "", 2);
+    const auto read = Call(platform->control_of(*platform->controls()[0]),
+                           "GET", "/config", "", 2);
     record.Line("operator reads: %s",
                 read.has_value() ? read->body.c_str() : "nothing");
   } else {
@@ -110,6 +117,7 @@
     }
   }
   Finish(platform, record, refused > 10 ? 1 : 0,
-         std::to_string(refused) + " requests were refused with 404 over "
-         "config_apply_ms after their route was confirmed");
+         std::to_string(refused) +
+             " requests were refused with 404 over "
+             "config_apply_ms after their route was confirmed");
 }
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -141,7 +141,7 @@
   explicit Reader(int fd) : fd_(fd) {}
 
   struct Message {
-    std::string first;  // request line or status line
+    std::string first;                          // request line or status line
     std::map<std::string, std::string> fields;  // names in lower case
     std::string body;
     int status() const {
@@ -235,8 +235,7 @@
   bool Fill(double deadline) {
     const double left = deadline - Now();
     pollfd wait{fd_, POLLIN, 0};
-    if (left <= 0 ||
-        poll(&wait, 1, static_cast<int>(left * 1000) + 1) != 1) {
+    if (left <= 0 || poll(&wait, 1, static_cast<int>(left * 1000) + 1) != 1) {
       return false;
     }
     char bytes[65536];
@@ -269,10 +268,10 @@
   if (fd < 0) {
     return std::nullopt;
   }
-  std::string request = method + " " + path + " HTTP/1.1\r\nHost: " +
-                        to.text() + "\r\nContent-Type: application/json\r\n" +
-                        "Content-Length: " + std::to_string(body.size()) +
-                        "\r\n\r\n" + body;
+  std::string request =
+      method + " " + path + " HTTP/1.1\r\nHost: " + to.text() +
+      "\r\nContent-Type: application/json\r\n" +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   std::optional<Message> answer;
   if (SendAll(fd, request)) {
     answer = Reader(fd).Read(deadline, true);
@@ -310,6 +309,7 @@
   double retry_budget_ratio = 0.2;
   int budget_window_s = 10;
   int budget_slack = 94;
+  int tolerated_machines = 1;
 };
 
 // The platform: settings, processes, signals.
@@ -367,16 +367,27 @@
   void Start(Machine& machine) {
     const std::string settings = WriteSettings(machine);
     const std::string log = folder_ + "/" + machine.name + ".log";
+    std::vector<std::string> variables = {"BILBERRYSPOOL_CONFIG=" + settings};
+    for (const char* name : {"PATH", "HOME", "LANG"}) {
+      if (const char* value = getenv(name)) {
+        variables.push_back(std::string(name) + "=" + value);
+      }
+    }
+    std::vector<char*> environment;
+    for (std::string& variable : variables) {
+      environment.push_back(variable.data());
+    }
+    environment.push_back(nullptr);
+    const std::string argument = "--settings=" + settings;
     const pid_t pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
-      setenv("BILBERRYSPOOL_CONFIG", settings.c_str(), 1);
-      const std::string argument = "--settings=" + settings;
-      execl("target/bin/bilberryspool", "target/bin/bilberryspool",
-            machine.role.c_str(), argument.c_str(), nullptr);
+      execle("target/bin/bilberryspool", "target/bin/bilberryspool",
+             machine.role.c_str(), argument.c_str(), nullptr,
+             environment.data());
       _exit(127);
     }
     machine.pid = pid;
@@ -411,8 +422,8 @@
   // Prints the ends of the logs, for a case that could not run.
   void ShowLogs() {
     for (const Machine& machine : machines_) {
-      const std::string command = "tail -n 5 '" + folder_ + "/" + machine.name +
-                                  ".log' 1>&2";
+      const std::string command =
+          "tail -n 5 '" + folder_ + "/" + machine.name + ".log' 1>&2";
       if (system(command.c_str()) != 0) {
         return;
       }
@@ -453,7 +464,8 @@
  private:
   static int FindPorts() {
     for (int i = 0; i < 200; ++i) {
-      const int port = 21000 + static_cast<int>((getpid() * 37 + i * 101) % 900) * 10;
+      const int port =
+          21000 + static_cast<int>((getpid() * 37 + i * 101) % 900) * 10;
       bool is_free = true;
       for (const char* ip : {"127.0.10.1", "127.0.20.1", "127.0.30.1"}) {
         for (int offset = 0; offset < 10 && is_free; ++offset) {
@@ -478,7 +490,8 @@
     std::string text = stream.str();
     std::string seeds = "[";
     for (const Machine* control : controls_) {
-      seeds += (seeds.size() > 1 ? ",\"" : "\"") + control_of(*control).text() + "\"";
+      seeds += (seeds.size() > 1 ? ",\"" : "\"") + control_of(*control).text() +
+               "\"";
     }
     seeds += "]";
     const std::string data = folder_ + "/data-" + machine.name;
@@ -495,10 +508,12 @@
         {"internal_port_range.1", std::to_string(port_ + 3)},
         {"seeds|json", seeds},
         {"bootstrap", machine.has_started_before ? "false" : "true"},
-        {"fault_tolerance.machines", "1"},
+        {"fault_tolerance.machines",
+         std::to_string(bounds_.tolerated_machines)},
         {"heartbeat_ms", std::to_string(bounds_.heartbeat_ms)},
         {"bounds.grace_s", std::to_string(bounds_.grace_s)},
-        {"bounds.retry_budget_ratio", std::to_string(bounds_.retry_budget_ratio)},
+        {"bounds.retry_budget_ratio",
+         std::to_string(bounds_.retry_budget_ratio)},
         {"bounds.budget_slack", std::to_string(bounds_.budget_slack)},
         {"bounds.budget_window_s", std::to_string(bounds_.budget_window_s)},
         {"bounds.cold_overage", ""},
@@ -583,14 +598,16 @@
     return "{\"service\":\"" + service_ + "\",\"address\":\"" +
            address_.text() + "\",\"zone\":\"" + zone_ +
            "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
-           ",\"state\":\"" + std::string(state_) + "\",\"cold_remaining_ms\":0,\"sequence\":" +
+           ",\"state\":\"" + std::string(state_) +
+           "\",\"cold_remaining_ms\":0,\"sequence\":" +
            std::to_string(++sequence_) + "}";
   }
   void Tell(const std::string& method, const std::string& body) {
     for (int i = 0; i < 10; ++i) {
       auto& controls = platform_.controls();
-      const auto answer = Call(platform_.control_of(*controls[i % controls.size()]),
-                               method, "/instances/" + id_, body, 1);
+      const auto answer =
+          Call(platform_.control_of(*controls[i % controls.size()]), method,
+               "/instances/" + id_, body, 1);
       if (answer.has_value() && answer->status() == 200) {
         record_.Line("runner %s: %s %s is acknowledged", id_.c_str(),
                      method.c_str(), method == "PUT" ? state_.load() : "");
@@ -645,13 +662,15 @@
       if (!request.has_value()) {
         return;
       }
-      const std::string expected = request->field("bilberryspool-expect-instance");
+      const std::string expected =
+          request->field("bilberryspool-expect-instance");
       if (!expected.empty() && expected != id_) {
         record_.Line("runner %s answers 421 to %s", id_.c_str(),
                      request->field("bilberryspool-attempt-id").c_str());
-        if (!SendAll(fd, "HTTP/1.1 421 Misdirected Request\r\n"
-                         "Bilberryspool-Not-Executed: 1\r\n"
-                         "Content-Length: 0\r\n\r\n")) {
+        if (!SendAll(fd,
+                     "HTTP/1.1 421 Misdirected Request\r\n"
+                     "Bilberryspool-Not-Executed: 1\r\n"
+                     "Content-Length: 0\r\n\r\n")) {
           return;
         }
         continue;
@@ -680,7 +699,8 @@
 };
 
 // A runner's own whole answer.
-inline std::string WholeAnswer(const Message& request, const std::string& body) {
+inline std::string WholeAnswer(const Message& request,
+                               const std::string& body) {
   return "HTTP/1.1 200 OK\r\nBilberryspool-Attempt-Id: " +
          request.field("bilberryspool-attempt-id") +
          "\r\nBilberryspool-Response-Seal: seal\r\n"
@@ -696,7 +716,9 @@
                                 const std::string& why) {
   record.Line("verdict %d: %s", verdict, why.c_str());
   printf("%s: %s\n",
-         verdict == 0 ? "held" : verdict == 1 ? "BROKEN" : "could not run",
+         verdict == 0   ? "held"
+         : verdict == 1 ? "BROKEN"
+                        : "could not run",
          why.c_str());
   fflush(stdout);
   if (verdict == 2 && platform != nullptr) {
