--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -121,7 +121,6 @@
   // The runner leaves: it withdraws first, goes on serving, and exits.
   Runner& leaving = *runners.front();
   leaving.StopBeats();
-  Sleep(1.5);
   bool is_acknowledged = false;
   for (Machine* control : platform->controls()) {
     record.Line("runner %s sends DELETE to %s", leaving.id().c_str(),
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -570,15 +570,18 @@
     std::thread([this] { Beat(); }).detach();
     return true;
   }
-  // No more check-ins.
-  void StopBeats() { beats_ = false; }
+  // No more check-ins; none is on its way when this returns.
+  void StopBeats() {
+    std::lock_guard<std::mutex> lock(beat_mutex_);
+    beats_ = false;
+  }
   // Reports that it is draining until that is acknowledged, then withdraws.
   void Drain() {
     state_ = "draining";
     Tell("PUT", Announcement());
   }
   void Withdraw() {
-    beats_ = false;
+    StopBeats();
     Tell("DELETE", "");
   }
   // As the end of the process: no more connections, the present ones end.
@@ -619,6 +622,7 @@
   void Beat() {
     std::size_t node = static_cast<std::size_t>(address_.ip.back());
     while (beats_) {
+      std::unique_lock<std::mutex> lock(beat_mutex_);
       auto& controls = platform_.controls();
       bool is_acknowledged = false;
       for (std::size_t i = 0; i < controls.size() && beats_; ++i) {
@@ -631,6 +635,7 @@
         }
         ++node;
       }
+      lock.unlock();
       Sleep(platform_.bounds().heartbeat_ms / 1000.0);
     }
   }
@@ -691,6 +696,7 @@
   Run run_;
   int listener_ = -1;
   std::atomic<const char*> state_{"ready"};
+  std::mutex beat_mutex_;  // held while a check-in is on its way
   std::atomic<bool> beats_{true};
   std::atomic<bool> has_exited_{false};
   std::atomic<std::uint64_t> sequence_{0};
