A departure that was acknowledged is lost with the control nodes

What callers saw: a target withdraws, is told 200 and serves on for 14 s; all control nodes are killed right after the answer.

Cause: withdrawals and `draining` were in the memory of the node that answered; peers and gateways were told beside the answer. A node that starts knows of no departure, the target says nothing more, and gateways keep it in use. Ruled out with processes_lost_departure_test on: with 0.5 s between the answer and the kill the targets get nothing, so gateways do heed a departure that they hear of, and late announcements do not undo it.

Change: departures are entries of the replicated log, by target and incarnation. Gateways are notified at once as before; the answer is 200 once the entry is committed, and 503 after 0.9 s if that is not known. Departures that arrive while one change is written go into the next one. They are removed after 120 s. A withdrawal names no incarnation; it now means the latest one that any control node reports.

Why this works: an acknowledged entry is on a majority of disks, each node adds the departures that it applies to its targets, and gateways ask each node.

--- a/src/libs/traffic/target_registry.cc
+++ b/src/libs/traffic/target_registry.cc
@@ -90,6 +90,27 @@
   return true;
 }
 
+bool TargetRegistry::OnLeaving(const TargetRun& run, TimePoint now) {
+  const auto [found, is_new] = records_.try_emplace(run.target);
+  TargetRecord& record = found->second;
+  TargetAnnouncement& known = record.announcement;
+  if (!is_new && run.incarnation < known.incarnation) {
+    return false;
+  }
+  if (is_new || run.incarnation > known.incarnation) {
+    // The other details follow with the next announcement of the run, if any.
+    record = TargetRecord();
+    known.target = run.target;
+    known.incarnation = run.incarnation;
+    record.heard_at = now;
+  } else if (known.standing != Standing::kReady) {
+    return false;
+  }
+  known.standing = Standing::kLeaving;
+  record.revision = ++revision_;
+  return true;
+}
+
 bool TargetRegistry::Tick(TimePoint now) {
   bool is_change = false;
   for (auto& [target, record] : records_) {
--- a/src/libs/traffic/target_registry.h
+++ b/src/libs/traffic/target_registry.h
@@ -61,6 +61,9 @@
   // Handles the notice of a target that it terminates; the known incarnation is
   // meant if none is given. Returns the same as Announce().
   bool Withdraw(const TargetId& target, Incarnation incarnation, TimePoint now);
+  // Handles the news that a run of a target leaves, whether or not the target
+  // has announced itself here. Returns the same as Announce().
+  bool OnLeaving(const TargetRun& run, TimePoint now);
   // Removes expired records. Returns whether a target became silent.
   bool Tick(TimePoint now);
 
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -100,6 +100,9 @@
                    {"confirmed", roster().confirmed()}});
         changed_.NotifyAll();
         return;
+      case ReplicatedState::Change::kDepartures:
+        ApplyDepartures(SteadyNow());
+        return;
       case ReplicatedState::Change::kRefusals:
         quarantine_.OnLogRecords(state_.refusals(), SteadyNow());
         return;
@@ -110,6 +113,7 @@
       log_.Error("Failed to read a snapshot.", {{"bytes", state.size()}});
     }
     quarantine_.OnLogRecords(state_.refusals(), SteadyNow());
+    ApplyDepartures(SteadyNow());
     changed_.NotifyAll();
   };
   hooks.make_snapshot = [this] { return state_.Export(); };
@@ -125,6 +129,8 @@
   server.Register("control.evacuate",
                   [this](const Json& params) { return OnEvacuate(params); });
   server.Register("control.read", [this](const Json&) { return OnRead(); });
+  server.Register("control.depart",
+                  [this](const Json& params) { return OnDepart(params); });
   server.Register("control.target",
                   [this](const Json& params) { return OnTarget(params); });
 }
@@ -147,6 +153,7 @@
     quarantine_.Tick(SteadyNow());
     SaveRefusals(SteadyNow());
     SaveRoster();
+    ProposeDepartures();
     limits_.Tick(SteadyNow());
     if (targets_.Tick(SteadyNow())) {
       log_.Info("Targets fell silent.", {{"revision", targets_.revision()}});
@@ -360,10 +367,16 @@
   return text.has_value() ? Json(text->value) : Json(nullptr);
 }
 
-void ControlNode::Announce(const traffic::TargetAnnouncement& announcement) {
-  if (!targets_.Announce(announcement, SteadyNow())) {
-    return;
+bool ControlNode::Announce(const traffic::TargetAnnouncement& announcement) {
+  if (targets_.Announce(announcement, SteadyNow())) {
+    OnTargetChanged(announcement);
   }
+  return announcement.standing == traffic::Standing::kReady ||
+         SaveDeparture(announcement.run());
+}
+
+void ControlNode::OnTargetChanged(
+    const traffic::TargetAnnouncement& announcement) {
   log_.Info("Target changed.",
             {{"target", announcement.target.value()},
              {"service", announcement.service.value()},
@@ -396,14 +409,19 @@
              {"so_far", unreadable_announcements_}});
 }
 
-void ControlNode::Withdraw(const TargetId& target, Incarnation incarnation) {
-  if (!targets_.Withdraw(target, incarnation, SteadyNow())) {
-    return;
+bool ControlNode::Withdraw(const TargetId& target, Incarnation incarnation) {
+  // A withdrawal without an incarnation may reach a node that the target has
+  // never announced itself to.
+  const TargetRun run{target, incarnation == Incarnation()
+                                  ? LatestIncarnationOf(target)
+                                  : incarnation};
+  if (targets_.Withdraw(target, run.incarnation, SteadyNow())) {
+    log_.Info("Target left.", {{"target", target.value()},
+                               {"incarnation", run.incarnation.value()}});
+    changed_.NotifyAll();
+    NotifyPeersOfTarget(targets_.records().at(target));
   }
-  log_.Info("Target left.",
-            {{"target", target.value()}, {"incarnation", incarnation.value()}});
-  changed_.NotifyAll();
-  NotifyPeersOfTarget(targets_.records().at(target));
+  return SaveDeparture(run);
 }
 
 void ControlNode::SetSlowTargets(std::map<std::string, double> by_address) {
@@ -466,10 +484,8 @@
   node_last_seen_at_[node] = SteadyNow();
 }
 
-// Once a target's withdrawal has been acknowledged, it must get no new work,
-// even if this node fails immediately afterwards. The peers are therefore
-// notified at the same time as the gateways. Their responses are not awaited,
-// since a network partition would delay the target.
+// Gateways that can't reach this node learn of a departure from the peers. The
+// peers' responses are not awaited, as the log holds the departure.
 void ControlNode::NotifyPeersOfTarget(const traffic::TargetRecord& record) {
   NotifyPeers("control.target", traffic::ToJson(record));
 }
--- a/src/plugins/control_node/control_node.h
+++ b/src/plugins/control_node/control_node.h
@@ -24,6 +24,8 @@
 #include "libs/packing/packed_text.h"
 #include "libs/settings/settings.h"
 #include "libs/telemetry/log.h"
+#include "libs/traffic/departure_queue.h"
+#include "libs/traffic/departure_registry.h"
 #include "libs/traffic/header_names.h"
 #include "libs/traffic/target_registry.h"
 #include "plugins/control_node/limit_manager.h"
@@ -91,9 +93,12 @@
   EvacuationOutcome Evacuate(const EvacuationOrder& order,
                              const std::function<bool()>& is_abandoned);
 
-  // Both return as soon as the notification of the gateways has started.
-  void Announce(const traffic::TargetAnnouncement& announcement);
-  void Withdraw(const TargetId& target, Incarnation incarnation);
+  // Both start the notification of the gateways at once. If the target leaves,
+  // they then wait until that survives the loss of any tolerated nodes, and
+  // return false if it is not known to do so in time: the target must not be
+  // told that its departure is known.
+  bool Announce(const traffic::TargetAnnouncement& announcement);
+  bool Withdraw(const TargetId& target, Incarnation incarnation);
   // Counts an announcement that could not be parsed; logged at most once a
   // second.
   void OnUnreadableAnnouncement(const TargetId& target);
@@ -135,6 +140,13 @@
   void NoteGateway(const std::string& name, std::uint64_t known_count);
   const cold_targets::GatewayRoster& roster() const { return state_.roster(); }
   const traffic::TargetRegistry& targets() const { return targets_; }
+  // The targets that announce themselves to other control nodes.
+  traffic::TargetRegistry& peer_targets() { return peer_targets_; }
+  const traffic::TargetRegistry& peer_targets() const { return peer_targets_; }
+  // The targets that leave, as far as this node knows.
+  const traffic::DepartureRegistry& departures() const {
+    return state_.departures();
+  }
   QuarantineManager& quarantine() { return quarantine_; }
   LimitManager& limits() { return limits_; }
   // Releases a request from quarantine here and on the other control nodes.
@@ -178,6 +190,21 @@
   std::optional<Json> OnSubmit(const Json& params);
   std::optional<Json> OnRead();
   std::optional<Json> OnTarget(const Json& params);
+  // Tells gateways and other nodes of a changed announcement.
+  void OnTargetChanged(const traffic::TargetAnnouncement& announcement);
+  // The latest incarnation of the target that any control node has reported;
+  // Incarnation() if there is none.
+  Incarnation LatestIncarnationOf(const TargetId& target) const;
+  // Waits until the log has the departure of the run. Returns false if that is
+  // not known in time.
+  bool SaveDeparture(const TargetRun& run);
+  bool SaveDepartureLocally(const TargetRun& run, TimePoint limit);
+  bool SaveDepartureAtLeader(const TargetRun& run, TimePoint limit);
+  std::optional<Json> OnDepart(const Json& params);
+  // Proposes waiting departures to the log, one change at a time.
+  void ProposeDepartures();
+  // Adds the departures that the log has gained to the targets on record.
+  void ApplyDepartures(TimePoint now);
   // Notifies the other control nodes that a target is leaving.
   void NotifyPeersOfTarget(const traffic::TargetRecord& record);
   void NotifyPeers(const std::string& method, const Json& params);
@@ -195,6 +222,12 @@
   telemetry::Logger log_;
   ReplicatedState state_;
   traffic::TargetRegistry targets_;
+  traffic::TargetRegistry peer_targets_{traffic::TargetRegistryOptions{}};
+  traffic::DepartureQueue departure_queue_{traffic::DepartureQueueOptions{}};
+  bool is_saving_departures_ = false;
+  // Revision of the departures that `targets_` has.
+  std::uint64_t applied_departures_ = 0;
+  net::FiberSignal departures_changed_;
   std::map<std::string, double> slow_targets_;
   std::uint64_t slow_revision_ = 0;
   TimePoint slow_targets_published_at_;
--- a/src/plugins/control_node/group_manager.cc
+++ b/src/plugins/control_node/group_manager.cc
@@ -44,8 +44,7 @@
       node_(node),
       protocol_(std::move(protocol)),
       read_configuration_(std::move(read_configuration)),
-      log_("groups"),
-      peer_targets_(traffic::TargetRegistryOptions{}) {}
+      log_("groups") {}
 
 void GroupManager::Start() {
   loop_.Spawn([this] { Run(); });
@@ -171,8 +170,9 @@
 
 bool GroupManager::KnowsEngine(const net::Endpoint& engine) const {
   const std::string address = engine.ToString();
-  for (const traffic::TargetRegistry* registry :
-       {&peer_targets_, &node_.targets()}) {
+  const std::initializer_list<const traffic::TargetRegistry*> registries = {
+      &node_.peer_targets(), &node_.targets()};
+  for (const traffic::TargetRegistry* registry : registries) {
     for (const auto& [target, record] : registry->records()) {
       if (record.announcement.address == address &&
           record.announcement.group.has_value()) {
@@ -241,10 +241,11 @@
   }
   for (const traffic::TargetRecord& record : *targets) {
     if (record.announcement.standing == traffic::Standing::kGone) {
-      peer_targets_.Withdraw(record.announcement.target,
-                             record.announcement.incarnation, SteadyNow());
+      node_.peer_targets().Withdraw(record.announcement.target,
+                                    record.announcement.incarnation,
+                                    SteadyNow());
     } else if (!record.is_silent) {
-      peer_targets_.Announce(record.announcement, SteadyNow());
+      node_.peer_targets().Announce(record.announcement, SteadyNow());
     }
   }
   return true;
@@ -275,7 +276,7 @@
 // among equals the one with the latest announcement.
 void GroupManager::CollectRanks() {
   const std::initializer_list<const traffic::TargetRegistry*> registries = {
-      &peer_targets_, &node_.targets()};
+      &node_.peer_targets(), &node_.targets()};
   std::map<std::pair<GroupId, std::uint32_t>, const traffic::TargetRecord*>
       latest;
   for (const traffic::TargetRegistry* registry : registries) {
--- a/src/plugins/control_node/group_manager.h
+++ b/src/plugins/control_node/group_manager.h
@@ -85,7 +85,6 @@
   std::map<GroupId, std::unique_ptr<GroupTask>> tasks_;
   // Tasks of earlier terms whose fibers may still run.
   std::vector<std::unique_ptr<GroupTask>> retired_tasks_;
-  traffic::TargetRegistry peer_targets_;
   PeerContacts peers_;
   // The other control nodes that responded at the last tick.
   std::vector<net::Endpoint> helpers_;
--- a/src/plugins/control_node/replicated_state.cc
+++ b/src/plugins/control_node/replicated_state.cc
@@ -14,10 +14,12 @@
 constexpr std::string_view kRefusals = "refusals\n";
 constexpr std::string_view kEvacuation = "evacuation\n";
 constexpr std::string_view kRoster = "roster\n";
+constexpr std::string_view kDepartures = "departures\n";
 // Separate the parts of a snapshot, which contain no line breaks.
 constexpr std::string_view kRefusalsSeparator = "\nrefusals\n";
 constexpr std::string_view kEvacuationsSeparator = "\nevacuations\n";
 constexpr std::string_view kRosterSeparator = "\nroster\n";
+constexpr std::string_view kDeparturesSeparator = "\ndepartures\n";
 
 // Removes the part after the last `separator` from `bytes` and returns it; an
 // empty part if there is none.
@@ -51,6 +53,11 @@
   return std::string(kRoster) + cold_targets::GatewayRoster::Encode(change);
 }
 
+std::string ReplicatedState::ProposeDepartures(
+    const traffic::DepartureRegistry::Change& change) {
+  return std::string(kDepartures) + traffic::DepartureRegistry::Encode(change);
+}
+
 ReplicatedState::Change ReplicatedState::Apply(std::string_view command) {
   if (command.starts_with(kRefusals)) {
     refusals_ = std::string(command.substr(kRefusals.size()));
@@ -67,6 +74,11 @@
     return roster_.Apply(command.substr(kRoster.size())) ? Change::kRoster
                                                          : Change::kNone;
   }
+  if (command.starts_with(kDepartures)) {
+    return departures_.Apply(command.substr(kDepartures.size()))
+               ? Change::kDepartures
+               : Change::kNone;
+  }
   return configuration_.Apply(command) ? Change::kConfiguration : Change::kNone;
 }
 
@@ -84,21 +96,30 @@
     bytes += kRosterSeparator;
     bytes += roster_.Export();
   }
+  if (departures_.size() > 0) {
+    bytes += kDeparturesSeparator;
+    bytes += departures_.Export();
+  }
   return bytes;
 }
 
 bool ReplicatedState::Import(std::string_view bytes) {
+  const std::string_view departures =
+      TakePartAfter(kDeparturesSeparator, bytes);
   const std::string_view roster = TakePartAfter(kRosterSeparator, bytes);
   const std::string_view evacuations =
       TakePartAfter(kEvacuationsSeparator, bytes);
   const std::string_view refusals = TakePartAfter(kRefusalsSeparator, bytes);
   evacuation::EvacuationRegistry read;
+  traffic::DepartureRegistry read_departures;
   if ((!evacuations.empty() && !read.Import(evacuations)) ||
+      (!departures.empty() && !read_departures.Import(departures)) ||
       !configuration_.Import(bytes)) {
     return false;
   }
   refusals_ = std::string(refusals);
   evacuations_ = std::move(read);
+  departures_ = std::move(read_departures);
   roster_ = cold_targets::GatewayRoster();
   roster_.Apply(roster);
   return true;
--- a/tests/auto/control_node/replicated_state_test.cc
+++ b/tests/auto/control_node/replicated_state_test.cc
@@ -104,6 +104,30 @@
   }
 }
 
+// Guards against losing an acknowledged departure when a replica restarts from
+// a snapshot.
+TEST_CASE("a snapshot holds departures, with and without a roster") {
+  const TargetRun run{TargetId("t"), Incarnation(7)};
+  for (const bool has_roster : {false, true}) {
+    CAPTURE(has_roster);
+    ReplicatedState state;
+    state.Apply(Configuration(3));
+    if (has_roster) {
+      state.Apply(ReplicatedState::ProposeRoster({{"a"}, 1}));
+    }
+    CHECK(state.Apply(ReplicatedState::ProposeDepartures({{run}, 0})) ==
+          ReplicatedState::Change::kDepartures);
+    CHECK(state.Apply(ReplicatedState::ProposeDepartures({{run}, 0})) ==
+          ReplicatedState::Change::kNone);
+    CHECK(state.Apply("departures\n{") == ReplicatedState::Change::kNone);
+    ReplicatedState read;
+    REQUIRE(read.Import(state.Export()));
+    CHECK(read.departures().Contains(run));
+    CHECK(read.roster().size() == (has_roster ? 1 : 0));
+    CHECK(read.configuration().version() == 3);
+  }
+}
+
 TEST_CASE("malformed refusals are treated as none") {
   ReplicatedState state;
   state.Apply("refusals\n{");
--- a/tests/auto/traffic/target_registry_test.cc
+++ b/tests/auto/traffic/target_registry_test.cc
@@ -179,6 +179,43 @@
   CHECK_FALSE(registry.records().at(TargetId("t")).is_silent);
 }
 
+// Guards against sending work to a target that leaves, because its departure is
+// known from the log only: this node has restarted since it was announced.
+TEST_CASE("a run that leaves is on record before it announces itself") {
+  TargetRegistry registry{TargetRegistryOptions{}};
+  CHECK(registry.OnLeaving({TargetId("t"), Incarnation(5)}, kStart));
+  CHECK_FALSE(registry.OnLeaving({TargetId("t"), Incarnation(5)}, kStart));
+  REQUIRE(registry.ChangedSince(0).size() == 1);
+  // An announcement that was delayed does not make it ready, but has details.
+  registry.Announce(MakeAnnouncementOf(5, 1), kStart);
+  CHECK(StandingOf(registry, "t") == Standing::kLeaving);
+  CHECK(registry.records().at(TargetId("t")).announcement.address ==
+        "10.0.0.1:80");
+}
+
+TEST_CASE("the departure of a run concerns no other run of the target") {
+  struct Row {
+    std::uint64_t known;
+    std::uint64_t leaving;
+    Standing standing;
+    std::uint64_t incarnation;
+  };
+  for (const Row& row :
+       {Row{5, 5, Standing::kLeaving, 5}, Row{6, 5, Standing::kReady, 6},
+        Row{6, 0, Standing::kReady, 6}, Row{0, 0, Standing::kLeaving, 0},
+        Row{5, 6, Standing::kLeaving, 6}}) {
+    CAPTURE(row.known);
+    CAPTURE(row.leaving);
+    TargetRegistry registry{TargetRegistryOptions{}};
+    registry.Announce(MakeAnnouncementOf(row.known, 3), kStart);
+    registry.OnLeaving({TargetId("t"), Incarnation(row.leaving)}, kStart);
+    CHECK(StandingOf(registry, "t") == row.standing);
+    CHECK(
+        registry.records().at(TargetId("t")).announcement.incarnation.value() ==
+        row.incarnation);
+  }
+}
+
 TEST_CASE("the number of records stays bounded") {
   TargetRegistryOptions options;
   options.max_records = 3;
--- a/tests/processes/platform/platform_standin.cc
+++ b/tests/processes/platform/platform_standin.cc
@@ -23,7 +23,10 @@
 DEFINE_string(service, "model", "service of the targets");
 DEFINE_string(zone, "z1", "failure domain of the targets");
 DEFINE_bool(cold, false, "the targets say that they are cold");
-DEFINE_string(control, "", "control nodes, IP:PORT, separated by commas");
+DEFINE_string(control,
+              "",
+              "control nodes, IP:PORT, separated by commas; without any, the "
+              "targets are not announced");
 DEFINE_int32(event_ms, 20, "pause between the events of a stream");
 DEFINE_string(boot, "", "suffix of the target ids, different for each start");
 DEFINE_string(ends_on,
@@ -88,7 +91,9 @@
     announcement_.domain = FailureDomain(FLAGS_zone);
     announcement_.slots = 8;
     announcement_.is_cold = FLAGS_cold;
-    loop_.Spawn([this] { AnnouncePeriodically(); });
+    if (!control_.empty()) {
+      loop_.Spawn([this] { AnnouncePeriodically(); });
+    }
     return server_.Start();
   }
 
