Keys are good again once the last workspace is taken off the list

Cause: has_workspaces was set to whether the list has entries, so an empty list counted as none, and without a list no key is needed. All gateways had the version, so it is not a late configuration.

--- a/tests/auto/platform/configuration_codec_test.cc
+++ b/tests/auto/platform/configuration_codec_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <variant>
 
+#include "libs/traffic/route_table.h"
 #include "platform/configuration_codec.h"
 
 namespace bilberryspool::platform {
@@ -101,6 +103,56 @@
   }
 }
 
+// What the list of tenants means to a request with key k1 on route r2.
+std::string VerdictOn(const std::string& text) {
+  auto read = ReadConfiguration(text);
+  auto* configuration = std::get_if<traffic::TrafficConfiguration>(&read);
+  if (configuration == nullptr ||
+      traffic::FindFault(*configuration).has_value()) {
+    return "refused";
+  }
+  const traffic::RouteTable table(
+      std::make_shared<const traffic::TrafficConfiguration>(
+          std::move(*configuration)));
+  const auto outcome = table.Match("h", "/b/x", "k1");
+  if (std::holds_alternative<traffic::KeyUnknown>(outcome)) {
+    return "key unknown";
+  }
+  const auto* match = std::get_if<traffic::RouteMatch>(&outcome);
+  REQUIRE(match != nullptr);
+  return match->holder == nullptr ? "anonymous"
+                                  : match->holder->workspace.value();
+}
+
+// Guards against keys that are good again once the last tenant that held any is
+// taken off the list.
+TEST_CASE("only a configuration without a list of tenants needs no key") {
+  const std::string tenants =
+      R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}])";
+  struct Row {
+    const char* list;
+    const char* verdict;
+  };
+  for (const Row& row : {
+           Row{R"("x":1)", "anonymous"},
+           Row{R"("tenants":[])", "key unknown"},
+           Row{R"("tenants":[{"name":"w","api_keys":[]}])", "key unknown"},
+           Row{R"("tenants":[{"name":"w","api_keys":["k2"]}])", "key unknown"},
+           Row{R"("tenants":[{"name":"w","api_keys":["k1"]}])", "w"},
+           Row{R"("tenants":null)", "refused"},
+           Row{R"("tenants":{})", "refused"},
+           Row{R"("tenants":"")", "refused"},
+           Row{R"("tenants":[null])", "refused"},
+           Row{R"("tenants":[{"name":"w"}])", "refused"},
+           Row{R"("tenants":[{"name":"w","api_keys":null}])", "refused"},
+           Row{R"("tenants":[{"name":"w","api_keys":"k1"}])", "refused"},
+           Row{R"("tenants":[{"name":"w","api_keys":[null]}])", "refused"},
+       }) {
+    CAPTURE(row.list);
+    CHECK(VerdictOn(Replaced(tenants, row.list)) == row.verdict);
+  }
+}
+
 TEST_CASE("unknown fields are ignored") {
   CHECK(std::holds_alternative<traffic::TrafficConfiguration>(
       ReadConfiguration(Replaced("\"version\":7", "\"version\":7,\"new\":1"))));
