A caller without a key has the key of a workspace that lists an empty one

A configuration with "api_keys":[""] lets every request without a key run for that tenant.

Cause: RouteTable::Match stands for "no key" with an empty one and looks it up like any other.

Change: an empty key belongs to nobody.

Before and after: "an empty key belongs to nobody" (traffic_test) failed on the code before with "short w3 3" and passes.

--- a/src/libs/traffic/route_table.cc
+++ b/src/libs/traffic/route_table.cc
@@ -61,7 +61,8 @@
     return match;
   }
   const auto held = configuration_->keys.find(std::string(key));
-  if (held != configuration_->keys.end()) {
+  // A request without a key has none, even if a workspace lists an empty one.
+  if (!key.empty() && held != configuration_->keys.end()) {
     match.holder = &held->second;
     match.urgency = UrgencyOf(*route, match.holder);
     return match;
--- a/tests/auto/traffic/route_table_test.cc
+++ b/tests/auto/traffic/route_table_test.cc
@@ -79,6 +79,17 @@
   }
 }
 
+// Guards against a key that a caller without a key has.
+TEST_CASE("an empty key belongs to nobody") {
+  TrafficConfiguration whole = MakeConfiguration();
+  whole.keys[""] = {Workspace("w3"), std::nullopt};
+  const RouteTable table(
+      std::make_shared<const TrafficConfiguration>(std::move(whole)));
+  CHECK(Describe(table.Match("h.example", "/a/x", "")) == "key unknown");
+  CHECK(Describe(table.Match("h.example", "/open/x", "")) ==
+        "open anonymous 3");
+}
+
 TEST_CASE("services are chosen according to the weights of the splits") {
   Route route = MakeRoute("r", "/r/");
   route.splits = {{ServiceId("model"), 90}, {ServiceId("plain"), 10}};
