Members of a configuration that can't be read are taken for absent

The member keeps its default when the configuration is read, so that one which an earlier version accepted can still be put into force from the log, and it is acknowledged when it is sent again with the same text.

Before and after: "an optional member of another type is refused, but can be read" is about a member that is new; the configurations of its rows were accepted before (review of the code, not run). "the configuration in force is recognized" is new as well.

--- a/src/libs/config/numbered_configuration.cc
+++ b/src/libs/config/numbered_configuration.cc
@@ -14,6 +14,11 @@
   return command;
 }
 
+bool NumberedConfiguration::Holds(std::uint64_t version,
+                                  std::string_view text) const {
+  return version == version_ && packing::Unpack(text_) == text;
+}
+
 std::optional<NumberedConfiguration::Decoded> NumberedConfiguration::Decode(
     std::string_view bytes) {
   const std::size_t end = bytes.find('\n');
--- a/src/libs/config/numbered_configuration.h
+++ b/src/libs/config/numbered_configuration.h
@@ -34,6 +34,8 @@
   // The version is 0 and the text empty before the first configuration.
   std::uint64_t version() const { return version_; }
   const packing::PackedText& text() const { return text_; }
+  // Whether this version is the current one and has this text, unpacked.
+  bool Holds(std::uint64_t version, std::string_view text) const;
 
  private:
   struct Decoded {
--- a/src/libs/traffic/traffic_configuration.cc
+++ b/src/libs/traffic/traffic_configuration.cc
@@ -92,6 +92,9 @@
   if (configuration.version == 0) {
     return "the version is 0";
   }
+  if (!configuration.unreadable_member.empty()) {
+    return "member " + configuration.unreadable_member + " is not of its type";
+  }
   std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : configuration.routes) {
     if (auto fault = FindFault(route, configuration)) {
--- a/src/libs/traffic/traffic_configuration.h
+++ b/src/libs/traffic/traffic_configuration.h
@@ -117,6 +117,10 @@
   // If false, the deployment has no keys and every request is anonymous.
   bool has_workspaces = false;
   CallerBounds bounds;
+  // An optional member that could not be read, so that its default is used;
+  // empty if there is none. Only configurations that were accepted by earlier
+  // versions have one in force.
+  std::string unreadable_member;
 };
 
 // How urgent a request is; the lowest value goes first. Among requests whose
--- a/src/plugins/control_node/control_node.cc
+++ b/src/plugins/control_node/control_node.cc
@@ -225,6 +225,11 @@
     return ConfigurationInvalid{*reason};
   }
   const auto& proposed = std::get<traffic::TrafficConfiguration>(read);
+  // A configuration that an earlier version of the program accepted is
+  // acknowledged again, also if it would be refused now.
+  if (configuration().Holds(proposed.version, text)) {
+    return ConfigurationAccepted{proposed.version};
+  }
   if (const auto fault = traffic::FindFault(proposed)) {
     log_.Warn("Refused a configuration.",
               {{"version", proposed.version}, {"reason", *fault}});
--- a/tests/auto/config/numbered_configuration_test.cc
+++ b/tests/auto/config/numbered_configuration_test.cc
@@ -31,6 +31,18 @@
   } while (std::next_permutation(commands.begin(), commands.end()));
 }
 
+// Guards against refusing a configuration that is in force when it is sent
+// again: a later version of the program may have stricter rules.
+TEST_CASE("the configuration in force is recognized") {
+  NumberedConfiguration state;
+  CHECK_FALSE(state.Holds(4, ""));
+  state.Apply(NumberedConfiguration::Propose(4, packing::Pack("text")));
+  CHECK(state.Holds(4, "text"));
+  CHECK_FALSE(state.Holds(4, "other"));
+  CHECK_FALSE(state.Holds(3, "text"));
+  CHECK_FALSE(state.Holds(5, "text"));
+}
+
 TEST_CASE("export and import restore the state; bad bytes change nothing") {
   NumberedConfiguration state;
   CHECK(state.Apply(
--- a/tests/auto/platform/configuration_codec_test.cc
+++ b/tests/auto/platform/configuration_codec_test.cc
@@ -153,6 +153,44 @@
   }
 }
 
+// Guards against a member that is taken for absent because it can't be read, so
+// that a limit is lifted or a route moved. Configurations that earlier versions
+// accepted must remain readable.
+TEST_CASE("an optional member of another type is refused, but can be read") {
+  struct Row {
+    const char* from;
+    const char* to;
+    const char* member;
+  };
+  const Row rows[] = {
+      {"\"health_path\":\"/health\"", "\"health_path\":null", "health_path"},
+      {"\"max_connections\":358", "\"max_connections\":\"358\"",
+       "max_connections"},
+      {"{\"name\":\"t\"}", "{\"name\":\"t\",\"cold_start_s\":\"4\"}",
+       "cold_start_s"},
+      {"{\"name\":\"t\"}", "{\"name\":\"t\",\"cold_per_s\":{}}", "cold_per_s"},
+      {"\"engine\":{", "\"engine\":null,\"x\":{", "engine"},
+      {"\"slots\":12", "\"slots\":-12", "slots"},
+      {"\"step_ms\":4.84", "\"step_ms\":[]", "step_ms"},
+      {"\"limits\":{", "\"limits\":[],\"x\":{", "limits"},
+      {"\"max_body_bytes\":4194304", "\"max_body_bytes\":null",
+       "max_body_bytes"},
+      {"\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":false",
+       "idle_timeout_ms"},
+      {"\"timeout_ms\":2000,", "\"timeout_ms\":2000,\"traffic_split\":{},",
+       "traffic_split"},
+      {"\"priority\":1}]}", "\"priority\":\"1\"}]}", "priority"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.to);
+    const auto read = ReadConfiguration(Replaced(row.from, row.to));
+    const auto* whole = std::get_if<traffic::TrafficConfiguration>(&read);
+    REQUIRE(whole != nullptr);
+    CHECK(whole->unreadable_member == row.member);
+    CHECK(traffic::FindFault(*whole).has_value());
+  }
+}
+
 TEST_CASE("unknown fields are ignored") {
   CHECK(std::holds_alternative<traffic::TrafficConfiguration>(
       ReadConfiguration(Replaced("\"version\":7", "\"version\":7,\"new\":1"))));
