A route whose host has capitals is never found

Cause: ReadHead puts the Host of a request into lower case and removes its port; RouteTable and FindFault take the hosts of a configuration as they are written. So a port in a configured host was never found either, and two routes could share a host unnoticed.

Change: NormalizeHost is the one form in which hosts are compared on both sides: ASCII letters in lower case, without a port and without the dot that ends an absolute name. Two routes of one prefix whose hosts differ in these only are refused. In a configuration that is in the log already the one in the usual form is found, as before.

--- a/src/libs/traffic/route_table.cc
+++ b/src/libs/traffic/route_table.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libs/traffic/host_name.h"
+
 namespace bilberryspool::traffic {
 
 RouteTable::RouteTable(
@@ -9,7 +11,12 @@
     : configuration_(std::move(configuration)),
       demands_(DemandsByService(*configuration_)) {
   for (const Route& route : configuration_->routes) {
-    routes_[route.host][route.path_prefix] = &route;
+    const std::string host = NormalizeHost(route.host);
+    const Route*& entry = routes_[host][route.path_prefix];
+    // Configurations that earlier versions accepted may have several.
+    if (entry == nullptr || route.host == host) {
+      entry = &route;
+    }
   }
 }
 
--- a/src/libs/traffic/route_table.h
+++ b/src/libs/traffic/route_table.h
@@ -34,8 +34,8 @@
   explicit RouteTable(
       std::shared_ptr<const TrafficConfiguration> configuration);
 
-  // `host` has no port, `path` has no query; `key` is empty if the request has
-  // none.
+  // `host` is normalized, `path` has no query; `key` is empty if the request
+  // has none.
   RouteOutcome Match(std::string_view host,
                      std::string_view path,
                      std::string_view key) const;
@@ -52,7 +52,7 @@
 
   std::shared_ptr<const TrafficConfiguration> configuration_;
   std::map<ServiceId, ServiceDemands> demands_;
-  // By host, then by path prefix.
+  // By normalized host, then by path prefix.
   std::map<std::string,
            std::map<std::string, const Route*, std::less<>>,
            std::less<>>
--- a/src/libs/traffic/traffic_configuration.cc
+++ b/src/libs/traffic/traffic_configuration.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "libs/traffic/host_name.h"
+
 namespace bilberryspool::traffic {
 
 namespace {
@@ -100,8 +102,9 @@
     if (auto fault = FindFault(route, configuration)) {
       return fault;
     }
-    if (!places.insert({route.host, route.path_prefix}).second) {
-      return "two routes share " + route.host + route.path_prefix;
+    const std::string host = NormalizeHost(route.host);
+    if (!places.insert({host, route.path_prefix}).second) {
+      return "two routes share " + host + route.path_prefix;
     }
   }
   return std::nullopt;
--- a/src/libs/traffic/traffic_configuration.h
+++ b/src/libs/traffic/traffic_configuration.h
@@ -33,7 +33,7 @@
 
 struct Route {
   std::string name;
-  std::string host;
+  std::string host;  // as it was written; see NormalizeHost()
   // Begins and ends with a slash. The longest prefix of a path wins.
   std::string path_prefix;
   RequestKind kind = RequestKind::kNonIdempotent;
--- a/src/plugins/gateway/request_head.cc
+++ b/src/plugins/gateway/request_head.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <vector>
 
+#include "libs/traffic/host_name.h"
 #include "libs/traffic/prompt_parts.h"
 
 namespace bilberryspool::gateway {
@@ -13,16 +14,6 @@
 // The largest number that an engine accepts; 0 is the most urgent.
 constexpr std::uint32_t kLowestPriority = 9;
 
-std::string WithoutPort(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  const bool has_port = colon != std::string_view::npos &&
-                        host.find(']', colon) == std::string_view::npos;
-  std::string name(has_port ? host.substr(0, colon) : host);
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char byte) { return std::tolower(byte); });
-  return name;
-}
-
 // The header fields that a Connection field names; they apply to one connection
 // only.
 std::vector<std::string> NominatedFields(const net::HttpHeaders& headers) {
@@ -79,7 +70,7 @@
   RequestHead head;
   head.request_id =
       std::string(request.headers.ValueOr(header_names.request_id, ""));
-  head.host = WithoutPort(request.headers.ValueOr("Host", ""));
+  head.host = traffic::NormalizeHost(request.headers.ValueOr("Host", ""));
   head.path = request.target.substr(0, request.target.find('?'));
   head.key = std::string(request.headers.ValueOr(header_names.key, ""));
   head.shared_parts = traffic::ReadSharedPromptParts(
--- a/src/plugins/gateway/request_head.h
+++ b/src/plugins/gateway/request_head.h
@@ -19,7 +19,7 @@
 
 struct RequestHead {
   std::string request_id;
-  std::string host;  // without a port
+  std::string host;  // normalized
   std::string path;  // without a query
   std::string key;
   // Ids of the prompt parts that other requests may share.
--- a/tests/auto/traffic/route_table_test.cc
+++ b/tests/auto/traffic/route_table_test.cc
@@ -90,6 +90,51 @@
         "open anonymous 3");
 }
 
+// Guards against routes that no request can reach because their host is written
+// in another way than the requests' after it was read.
+TEST_CASE("hosts are compared in one form") {
+  struct Row {
+    const char* configured;
+    const char* requested;
+    bool is_same;
+  };
+  for (const Row& row : {
+           Row{"Kiln.Example", "kiln.example", true},
+           Row{"kiln.example:8080", "kiln.example", true},
+           Row{"KILN.example.", "kiln.example", true},
+           Row{"[2001:DB8::1]", "[2001:db8::1]", true},
+           Row{"[2001:db8::1]:80", "[2001:db8::1]", true},
+           Row{"kiln.example", "mill.example", false},
+           Row{"\xC4kiln.example", "\xE4kiln.example", false},
+       }) {
+    CAPTURE(row.configured);
+    TrafficConfiguration whole = MakeConfiguration();
+    whole.routes[2].host = row.configured;
+    const RouteTable table(
+        std::make_shared<const TrafficConfiguration>(std::move(whole)));
+    CHECK(Describe(table.Match(row.requested, "/open/x", "")) ==
+          (row.is_same ? "open anonymous 3" : "no route"));
+  }
+}
+
+// Configurations that earlier versions accepted are still in the log. There the
+// route in the usual form was the one that requests reached.
+TEST_CASE("the usual form of a host goes first where two routes share it") {
+  for (const bool is_usual_first : {false, true}) {
+    CAPTURE(is_usual_first);
+    TrafficConfiguration whole = MakeConfiguration();
+    Route other = whole.routes[2];
+    other.name = "capitals";
+    other.host = "H.Example";
+    whole.routes.insert(
+        is_usual_first ? whole.routes.end() : whole.routes.begin(), other);
+    const RouteTable table(
+        std::make_shared<const TrafficConfiguration>(std::move(whole)));
+    CHECK(Describe(table.Match("h.example", "/open/x", "")) ==
+          "open anonymous 3");
+  }
+}
+
 TEST_CASE("services are chosen according to the weights of the splits") {
   Route route = MakeRoute("r", "/r/");
   route.splits = {{ServiceId("model"), 90}, {ServiceId("plain"), 10}};
@@ -121,6 +166,12 @@
        false},
       {"two routes with one host and prefix",
        [](TrafficConfiguration& w) { w.routes[1].path_prefix = "/a/"; }, false},
+      {"two routes with one prefix and hosts that differ in case",
+       [](TrafficConfiguration& w) {
+         w.routes[1].path_prefix = "/a/";
+         w.routes[1].host = "H.Example";
+       },
+       false},
       {"one prefix on two hosts",
        [](TrafficConfiguration& w) {
          w.routes[1].path_prefix = "/a/";
