Soak: all control nodes are killed just after a target has withdrawn

The soak had all control nodes killed and targets that leave, and did not find the lost departures: its targets went on announcing that they leave, and a request to one that left was excused by any fault of a control node between the two moments, however long ago. Now a target withdraws just before all control nodes are killed and serves on for 12 s without a word, and a fault excuses only what comes within its effect. The check is stricter: what is excused now was excused before.

--- a/src/tools/soak/ledger.cc
+++ b/src/tools/soak/ledger.cc
@@ -186,12 +186,20 @@
           run.at <= left->second + options_.drain_time + kInFlightAllowance) {
         continue;
       }
+      // Faults between the two moments are no excuse once their effect is over:
+      // what was acknowledged must be known to all that are reachable again.
       const TimePoint from = left->second - options_.fault_effect_duration;
-      const bool is_excused =
-          HasFault(VictimClass::kGateway, std::nullopt, false, from, run.at) ||
-          HasFault(VictimClass::kControl, std::nullopt, true, from, run.at) ||
-          HasFault(VictimClass::kTarget, run.target_number, false, from,
-                   run.at);
+      const TimePoint calm_from = run.at - options_.drain_time;
+      const auto is_disturbed = [&](VictimClass victims, bool counts_planned) {
+        return HasFault(victims, std::nullopt, counts_planned, left->second,
+                        left->second) ||
+               HasFault(victims, std::nullopt, counts_planned, calm_from,
+                        run.at);
+      };
+      const bool is_excused = is_disturbed(VictimClass::kGateway, false) ||
+                              is_disturbed(VictimClass::kControl, true) ||
+                              HasFault(VictimClass::kTarget, run.target_number,
+                                       false, from, run.at);
       if (!is_excused) {
         found.push_back({"a target that left gets no new work",
                          TextOf(call.sent) + " target=" + run.target});
--- a/src/tools/soak/soak_run.cc
+++ b/src/tools/soak/soak_run.cc
@@ -172,6 +172,12 @@
 // Injects a fault and undoes it after its duration, or later if injecting it
 // took longer.
 void SoakRun::Execute(const FaultEvent& fault_event) {
+  if (fault_event.kind == FaultKind::kKillAllControl) {
+    // What was acknowledged just before must survive, although nobody else was
+    // told.
+    targets_[fault_event.at / Milliseconds(1) % targets_.size()]
+        ->WithdrawFirst();
+  }
   const TimePoint begun = SteadyNow();
   Begin(fault_event);
   const Duration left = begun + fault_event.length - SteadyNow();
@@ -222,6 +228,10 @@
       processes.Kill(name);
       break;
     case FaultKind::kKillAllControl:
+      // Before any of them is waited for, so that none tells the others.
+      for (std::uint32_t i = 0; i < options_.plan.controls; ++i) {
+        processes.Signal(Deployment::ControlName(i), SIGKILL);
+      }
       for (std::uint32_t i = 0; i < options_.plan.controls; ++i) {
         expected_down_.insert(Deployment::ControlName(i));
         processes.Kill(Deployment::ControlName(i));
--- a/src/tools/soak/soak_target.cc
+++ b/src/tools/soak/soak_target.cc
@@ -72,6 +72,7 @@
       FailureDomain("z" + std::to_string(options_.number % 3 + 1));
   announcement_.slots = kSlots;
   is_alive_ = true;
+  has_withdrawn_ = false;
   relay_.set_new_connections(blackhole::NewConnections::kRelayed);
 }
 
@@ -89,7 +90,7 @@
 
 void SoakTarget::AnnouncePeriodically() {
   while (true) {
-    if (is_alive_) {
+    if (is_alive_ && !has_withdrawn_) {
       ++announcement_.sequence;
       SendToControl(platform::AnnounceCall(announcement_));
     }
@@ -99,20 +100,41 @@
 
 void SoakTarget::Drain() {
   announcement_.standing = traffic::Standing::kLeaving;
-  constexpr int kMaxTries = 12;
-  for (int i = 0; i < kMaxTries; ++i) {
-    ++announcement_.sequence;
-    if (SendToControl(platform::AnnounceCall(announcement_))) {
-      ledger_.OnLeaving(announcement_.target.value(), SteadyNow());
-      break;
-    }
-  }
+  ++announcement_.sequence;
+  SendDeparture(platform::AnnounceCall(announcement_));
   constexpr Duration kDrainTime = Milliseconds(3500);
   loop_.SleepFor(kDrainTime);
   is_alive_ = false;
   SendToControl(platform::WithdrawCall(announcement_.target));
 }
 
+void SoakTarget::WithdrawFirst() {
+  if (!is_alive_ || has_withdrawn_) {
+    return;
+  }
+  has_withdrawn_ = true;
+  SendDeparture(platform::WithdrawCall(announcement_.target));
+  loop_.Spawn([this, incarnation = incarnation_] {
+    // Longer than the effect of a restart of all control nodes.
+    constexpr Duration kServingTime = Seconds(12);
+    loop_.SleepFor(kServingTime);
+    if (is_alive_ && incarnation == incarnation_) {
+      Restart();
+    }
+  });
+}
+
+void SoakTarget::SendDeparture(const net::HttpRequest& call) {
+  constexpr int kMaxTries = 12;
+  const std::string target = announcement_.target.value();
+  for (int i = 0; i < kMaxTries; ++i) {
+    if (SendToControl(call)) {
+      ledger_.OnLeaving(target, SteadyNow());
+      return;
+    }
+  }
+}
+
 void SoakTarget::Handle(net::HttpExchange& exchange) {
   const std::string expected(exchange.request().headers.ValueOr(
       dialect_.expected_target, announcement_.target.value()));
--- a/src/tools/soak/soak_target.h
+++ b/src/tools/soak/soak_target.h
@@ -50,9 +50,16 @@
   // Announces that it leaves, continues to serve for the drain time, and
   // withdraws.
   void Drain();
+  // Withdraws without having announced it, continues to serve for a while
+  // without announcing itself again, and starts anew. Returns once the
+  // withdrawal was acknowledged or was given up.
+  void WithdrawFirst();
 
  private:
   void AnnouncePeriodically();
+  // Calls the control nodes in turn until one accepts the call, and tells the
+  // ledger then.
+  void SendDeparture(const net::HttpRequest& call);
   // Sends the call to a control node; whether it was accepted. After a failure
   // the next call goes to the next node.
   bool SendToControl(const net::HttpRequest& call);
@@ -72,6 +79,7 @@
   std::size_t control_index_ = 0;
   std::uint32_t incarnation_ = 0;
   bool is_alive_ = true;
+  bool has_withdrawn_ = false;
 };
 
 }  // namespace bilberryspool::soak
--- a/tests/auto/soak/ledger_test.cc
+++ b/tests/auto/soak/ledger_test.cc
@@ -241,6 +241,30 @@
   }
 }
 
+// Guards against a soak that excuses every request to a target that left before
+// a fault, however long ago the fault was.
+TEST_CASE("a target that left gets no new work after a fault, either") {
+  struct Case {
+    std::int64_t run_at_ms;
+    std::int64_t fault_ended_ms;
+    bool is_broken;
+  };
+  const Case cases[] = {
+      {20'000, 10'900, true}, {20'000, 15'500, false}, {14'000, 10'900, false}};
+  for (const Case& one : cases) {
+    CAPTURE(one.run_at_ms);
+    CAPTURE(one.fault_ended_ms);
+    Ledger ledger(ThreeEvents());
+    ledger.OnLeaving("t", At(10'000));
+    ledger.OnSent(Call("a", RequestKind::kIdempotent, one.run_at_ms - 5));
+    ledger.OnRun(Run("a", one.run_at_ms));
+    ledger.OnEnded("a", Answered(200, one.run_at_ms + 20));
+    ledger.OnFault(Fault(FaultKind::kKillAllControl, 0), At(10'001),
+                   At(one.fault_ended_ms));
+    CHECK(Broken(ledger).empty() != one.is_broken);
+  }
+}
+
 TEST_CASE("a read must return the accepted configuration or a newer one") {
   struct Case {
     std::uint64_t read;
--- a/tests/auto/traffic/departures_test.cc
+++ b/tests/auto/traffic/departures_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -141,5 +142,43 @@
   CHECK_FALSE(queue.NextChange(saved, kStart + Seconds(900)).has_value());
 }
 
+// Guards against a log that grows with the number of targets that ever left: a
+// tenth of 6,200 targets leaves each minute, for ten minutes.
+TEST_CASE("departures of a large deployment stay few and are removed") {
+  constexpr int kPerMinute = 620;
+  constexpr int kMinutes = 10;
+  constexpr std::size_t kMaxSnapshotBytes = 256 * 1024;
+  DepartureQueue queue{DepartureQueueOptions{}};
+  DepartureRegistry saved;
+  std::size_t most = 0;
+  std::size_t changes = 0;
+  const auto propose = [&](TimePoint now) {
+    const auto change = queue.NextChange(saved, now);
+    if (!change.has_value()) {
+      return;
+    }
+    ++changes;
+    if (Add(saved, change->runs, change->remove_up_to)) {
+      queue.OnApplied(saved.revision(), now);
+    }
+    most = std::max(most, saved.size());
+  };
+  TimePoint now = kStart;
+  for (int i = 0; i < kPerMinute * kMinutes; ++i) {
+    queue.Add(Run("target-" + std::to_string(i), 1'790'000'000'000));
+    propose(now);
+    now += Seconds(60) / kPerMinute;
+  }
+  CHECK(most <= 2 * kPerMinute + 1);
+  CHECK(saved.Export().size() <= kMaxSnapshotBytes);
+  CHECK(changes <= kPerMinute * kMinutes);
+  for (int second = 0; second < 180; ++second) {
+    propose(now);
+    now += Seconds(1);
+  }
+  CHECK(saved.size() == 0);
+  CHECK(changes <= kPerMinute * kMinutes + 6);
+}
+
 }  // namespace
 }  // namespace bilberryspool::traffic
