--- a/tests/auto/traffic/departures_test.cc
+++ b/tests/auto/traffic/departures_test.cc
@@ -147,7 +147,7 @@
 TEST_CASE("departures of a large deployment stay few and are removed") {
   constexpr int kPerMinute = 620;
   constexpr int kMinutes = 10;
-  constexpr std::size_t kMaxSnapshotBytes = 256 * 1024;
+  constexpr std::size_t kMaxSnapshotBytes = 256UL * 1024;
   DepartureQueue queue{DepartureQueueOptions{}};
   DepartureRegistry saved;
   std::size_t most = 0;
