--- a/src/plugins/control_node/replicated_state.cc
+++ b/src/plugins/control_node/replicated_state.cc
@@ -96,7 +96,7 @@
     bytes += kRosterSeparator;
     bytes += roster_.Export();
   }
-  if (departures_.size() > 0) {
+  if (departures_.revision() > 0) {
     bytes += kDeparturesSeparator;
     bytes += departures_.Export();
   }
--- a/tests/auto/control_node/replicated_state_test.cc
+++ b/tests/auto/control_node/replicated_state_test.cc
@@ -128,6 +128,21 @@
   }
 }
 
+// Guards against replicas that number departures differently, because one was
+// restored from a snapshot after the last departure had been removed: the next
+// removal would then take away recent departures there.
+TEST_CASE("a snapshot without departures keeps their revision") {
+  const TargetRun run{TargetId("t"), Incarnation(7)};
+  ReplicatedState state;
+  state.Apply(Configuration(3));
+  state.Apply(ReplicatedState::ProposeDepartures({{run}, 0}));
+  state.Apply(ReplicatedState::ProposeDepartures({{}, 1}));
+  REQUIRE(state.departures().size() == 0);
+  ReplicatedState read;
+  REQUIRE(read.Import(state.Export()));
+  CHECK(read.departures().revision() == 1);
+}
+
 TEST_CASE("malformed refusals are treated as none") {
   ReplicatedState state;
   state.Apply("refusals\n{");
