--- a/tests/processes/platform/deployment_on_platform.sh
+++ b/tests/processes/platform/deployment_on_platform.sh
@@ -98,3 +98,18 @@
     expect "answers of gateway $i other than 200" 0 "$(grep -vc 200 "$RUN/answers-$i")"
   done
 }
+# Sends requests to a gateway until a file exists.
+send_until() { # GATEWAY FILE
+  local n=0
+  until [ -e "$2" ]; do
+    n=$((n + 1))
+    call "$1" /a/x "sent-$1-$n" -d order -o /dev/null -w '%{http_code}\n' >> "$RUN/answers-$1"
+    sleep 0.02
+  done
+}
+# The clock that the stand-in records requests by.
+now_ms() { python3 -c 'import time; print(time.monotonic_ns() // 1000000)'; }
+# Counts the requests that a stand-in has recorded from one moment to another.
+runs_between() { # FILE FROM_MS TO_MS
+  awk -v from="$2" -v to="$3" '$1 >= from && $1 <= to' "$1" | wc -l
+}
--- a/tests/processes/platform/evacuation_test.sh
+++ b/tests/processes/platform/evacuation_test.sh
@@ -16,19 +16,6 @@
 is_evacuated() { [ "$(evacuate POST "$@")" = 200 ]; }
 is_withdrawn() { [ "$(evacuate DELETE "$@")" = 200 ]; }
 lists() { curl -s -m 2 "127.0.0.$1:${P}30/evacuations" | grep -q "\"domains\":\[$2\]"; }
-# The clock that the stand-in records requests by.
-now_ms() { python3 -c 'import time; print(time.monotonic_ns() // 1000000)'; }
-send_until() { # GATEWAY FILE
-  local n=0
-  until [ -e "$2" ]; do
-    n=$((n + 1))
-    call "$1" /a/x "evac-$1-$n" -d order -o /dev/null -w '%{http_code}\n' >> "$RUN/answers-$1"
-    sleep 0.02
-  done
-}
-runs_between() { # FILE FROM_MS TO_MS
-  awk -v from="$2" -v to="$3" '$1 >= from && $1 <= to' "$1" | wc -l
-}
 
 LOADS=""
 SENT_FROM="$(now_ms)"
--- a/tests/processes/platform/lost_departure_test.sh
+++ b/tests/processes/platform/lost_departure_test.sh
@@ -29,17 +29,6 @@
   done
 }
 withdraw() { curl -s -m 2 -o /dev/null -w '%{http_code}' -X DELETE "127.0.0.$2:${P}10/instances/i-0-$1"; }
-# The clock that the stand-in records requests by.
-now_ms() { python3 -c 'import time; print(time.monotonic_ns() // 1000000)'; }
-send_until() { # GATEWAY FILE
-  local n=0
-  until [ -e "$2" ]; do
-    n=$((n + 1))
-    call "$1" /a/x "left-$1-$n" -d order -o /dev/null -w '%{http_code}\n' >> "$RUN/answers-$1"
-    sleep 0.02
-  done
-}
-runs_after() { awk -v from="$2" '$1 > from' "$RUN/requests-$1" | wc -l; }
 is_used() { [ -s "$RUN/requests-$1" ]; }
 
 JOBS=""
@@ -78,9 +67,9 @@
 JOBS="$JOBS $!"
 sleep 8
 for name in withdrawn drained; do
-  expect "requests to the $name target" 0 "$(runs_after "$name" "$SETTLED")"
+  expect "requests to the $name target" 0 "$(runs_between "$RUN/requests-$name" "$SETTLED" "$(now_ms)")"
 done
-[ "$(awk -v from="$SETTLED" '$1 > from' "$RUN/requests" | wc -l)" -gt 20 ] || fail "the other target got no requests"
+[ "$(runs_between "$RUN/requests" "$SETTLED" "$(now_ms)")" -gt 20 ] || fail "the other target got no requests"
 
 # Without a majority nothing is acknowledged.
 for i in 1 3; do kill_hard "control-$i"; done
