--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -147,6 +147,10 @@
         .GaugeFor({"bilberryspool_nodes_asking_admission",
                    "Nodes without a copy of the log that ask for one"})
         .Set(static_cast<double>(node_.replica().asking_nodes()));
+    metrics_
+        .GaugeFor({"bilberryspool_departures_on_record",
+                   "Targets that leave or have left, as the log says"})
+        .Set(static_cast<double>(node_.departures().size()));
     quarantine_service_.SetMetrics(metrics_);
     evacuation_service_.SetMetrics(metrics_);
     metrics_
--- a/tests/processes/platform/lost_departure_test.sh
+++ b/tests/processes/platform/lost_departure_test.sh
@@ -62,6 +62,8 @@
 done
 wait_until "there is a leader" find_leader
 SETTLED="$(($(now_ms) + SETTLE_MS))"
+has_on_record() { [ "$(curl -s -m 2 "127.0.0.$1:${P}30/metrics" | awk '/^bilberryspool_departures_on_record/ {print $2 + 0}')" = 5 ]; }
+for i in $CONTROLS; do wait_until "node $i has all departures on record" has_on_record "$i"; done
 # Late announcements do not bring a target back.
 announce_until withdrawn "$RUN/stop" &
 JOBS="$JOBS $!"
