Trailers or a chunk extension without an end take a process's memory

Callers saw: connections that break, as the process had ended out of memory.

Cause: the parser takes the beginning of a chunk, and all trailers, only once it has them whole, and the read that ServerConnection used grows its buffer until then without a bound.

Why this works: the body is parsed from a buffer that the connection fills itself, at most as long as a head may be plus one read; what still waits for its end then is refused with 431. request_body_test: bodies of exactly the limit with a length, in one chunk, in chunks of 16 bytes and of 1 byte, with extensions and trailers arrive unchanged.

--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -1,8 +1,8 @@
 #include "libs/net/internal/server_connection.h"
 
+#include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "libs/net/internal/await.h"
@@ -119,7 +119,7 @@
 
 ServerConnection::ReadOutcome ServerConnection::ReadRequest(
     HttpRequest& request) {
-  http::request_parser<http::string_body> parser;
+  Parser parser;
   parser.header_limit(
       static_cast<std::uint32_t>(state_->options.max_header_bytes));
   parser.body_limit(state_->options.max_body_bytes);
@@ -148,21 +148,65 @@
       http::async_write(stream_, continue_response, handler);
     });
   }
-  const IoOutcome body = Await([&](auto handler) {
-    http::async_read(stream_, buffer_, parser, handler);
-  });
-  if (body.error) {
-    return RejectBadRequest(body.error);
+  if (const auto error = ReadBody(parser, request.body)) {
+    return RejectBadRequest(*error);
   }
   http_version_ = parser.get().version();
   keep_alive_ = parser.get().keep_alive();
   request.method = std::string(parser.get().method_string());
   request.target = std::string(parser.get().target());
   request.headers = FromFields(parser.get());
-  request.body = std::move(parser.get().body());
   return ReadOutcome::kRequest;
 }
 
+// The parser takes the beginning of a chunk, and all trailers, only when it has
+// them whole; what waits for that is as bounded as the head.
+std::optional<boost::system::error_code> ServerConnection::ReadBody(
+    Parser& parser,
+    std::string& body) {
+  constexpr std::size_t kRead = 16UL * 1024;
+  parser.eager(true);
+  while (!parser.is_done()) {
+    boost::system::error_code error;
+    if (buffer_.size() > 0) {
+      error = ParseBuffered(parser, body);
+    }
+    if (error == http::error::need_buffer) {
+      continue;
+    }
+    if (error && error != http::error::need_more) {
+      return error;
+    }
+    if (parser.is_done()) {
+      break;
+    }
+    if (buffer_.size() > state_->options.max_header_bytes) {
+      return http::make_error_code(http::error::header_limit);
+    }
+    const IoOutcome outcome = Await([&](auto handler) {
+      stream_.async_read_some(buffer_.prepare(kRead), handler);
+    });
+    if (outcome.error) {
+      return outcome.error;
+    }
+    buffer_.commit(outcome.bytes);
+  }
+  return std::nullopt;
+}
+
+boost::system::error_code ServerConnection::ParseBuffered(Parser& parser,
+                                                          std::string& body) {
+  std::array<char, 8UL * 1024> piece;
+  auto& target = parser.get().body();
+  target.data = piece.data();
+  target.size = piece.size();
+  target.more = true;
+  boost::system::error_code error;
+  buffer_.consume(parser.put(buffer_.data(), error));
+  body.append(piece.data(), piece.size() - target.size);
+  return error;
+}
+
 // Reads until the whole head is in the buffer, so that it can be checked before
 // it is parsed.
 std::optional<boost::system::error_code> ServerConnection::ReadHead() {
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -3,10 +3,13 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "libs/net/http_server.h"
@@ -47,9 +50,17 @@
   friend class ServerExchange;
 
   enum class ReadOutcome { kRequest, kClosed, kRejected };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
   ReadOutcome ReadRequest(HttpRequest& request);
   std::optional<boost::system::error_code> ReadHead();
+  std::optional<boost::system::error_code> ReadBody(Parser& parser,
+                                                    std::string& body);
+  // Moves what the buffer has of the body to `body`. Returns need_more where
+  // the rest of a chunk's beginning or of the trailers is missing, and
+  // need_buffer where it has to be called again.
+  boost::system::error_code ParseBuffered(Parser& parser, std::string& body);
   ReadOutcome Reject(const Rejection& rejection);
   ReadOutcome RejectBadRequest(const boost::system::error_code& error);
   bool WaitForFirstByte();
