Many bodies that are not whole take a process's memory together

Callers saw: connections that break, as the process had ended out of memory.

Cause: each connection has a limit, up to 8 MB of body and 64 KB of head, and nothing bounds the sum of them; clients that stop just short of their end hold theirs for 20 s.

Why this works: each connection tells a ConnectionBudget, which the servers of a process share, what it holds. Where the sum is over its bound, the one that has waited longest for its client, among those that hold no less than the mean, is told 503 and closed: a request that has not run. An ordinary request is small and whole soon after its first byte, so it is not the one. Requests that are being answered are never closed for it.

--- /dev/null
+++ b/src/libs/net/connection_budget.h
@@ -0,0 +1,74 @@
+// Bounds what all connections of a process hold together.
+//
+// A client alone decides how much of a request it sends and when the rest
+// follows, so the limits of one connection don't bound the sum. Where the sum
+// is over its limit, this decides which connection is closed. Pure: `now` is an
+// argument.
+
+#ifndef LIBS_NET_CONNECTION_BUDGET_H_
+#define LIBS_NET_CONNECTION_BUDGET_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+#include "libs/base/strong_type.h"
+#include "libs/base/time.h"
+
+namespace bilberryspool::net {
+
+using ConnectionId = StrongNumber<struct ConnectionIdTag>;
+
+enum class ConnectionPhase {
+  kWaiting,   // for the first byte of a request
+  kReading,   // a request that is not whole
+  kHandling,  // a request that is whole; never closed by the budget
+};
+
+struct ConnectionBudgetOptions {
+  // What all connections may hold: what they have read, and
+  // kConnectionBytes each.
+  std::size_t max_bytes = 40UL * 1024 * 1024;
+};
+
+class ConnectionBudget {
+ public:
+  // Stack, socket and buffers of a connection that holds nothing else.
+  static constexpr std::size_t kConnectionBytes = 24UL * 1024;
+
+  explicit ConnectionBudget(ConnectionBudgetOptions options)
+      : options_(options) {}
+
+  // A new connection, which waits.
+  ConnectionId Add(TimePoint now);
+  void Remove(ConnectionId id);
+  // Must not be called with the phase that the connection is in.
+  void Enter(ConnectionId id, ConnectionPhase phase, TimePoint now);
+  // Sets what the connection holds besides kConnectionBytes.
+  void Hold(ConnectionId id, std::size_t bytes);
+
+  // The connection to close next; nothing if all fit, or if each one that is
+  // left has a request in progress. Of those that hold no less than the mean,
+  // the one that has waited longest for its client: an ordinary request is
+  // whole soon after its first byte, and small.
+  std::optional<ConnectionId> FindExcess() const;
+
+  std::size_t held_bytes() const { return held_bytes_; }
+  std::size_t size() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    ConnectionPhase phase = ConnectionPhase::kWaiting;
+    TimePoint since;
+    std::size_t bytes = kConnectionBytes;
+  };
+
+  ConnectionBudgetOptions options_;
+  std::map<ConnectionId, Connection> connections_;
+  ConnectionId last_id_;
+  std::size_t held_bytes_ = 0;
+};
+
+}  // namespace bilberryspool::net
+
+#endif  // LIBS_NET_CONNECTION_BUDGET_H_
--- /dev/null
+++ b/src/libs/net/connection_registry.cc
@@ -0,0 +1,40 @@
+#include "libs/net/connection_registry.h"
+
+#include <utility>
+
+namespace bilberryspool::net {
+
+ConnectionId ConnectionRegistry::Add(Evict evict, TimePoint now) {
+  const ConnectionId id = budget_.Add(now);
+  evictions_.emplace(id, std::move(evict));
+  EvictExcess();
+  return id;
+}
+
+void ConnectionRegistry::Remove(ConnectionId id) {
+  budget_.Remove(id);
+  evictions_.erase(id);
+}
+
+void ConnectionRegistry::Enter(ConnectionId id,
+                               ConnectionPhase phase,
+                               TimePoint now) {
+  budget_.Enter(id, phase, now);
+}
+
+void ConnectionRegistry::Hold(ConnectionId id, std::size_t bytes) {
+  budget_.Hold(id, bytes);
+  EvictExcess();
+}
+
+void ConnectionRegistry::EvictExcess() {
+  while (const auto excess = budget_.FindExcess()) {
+    const auto found = evictions_.find(*excess);
+    const Evict evict = std::move(found->second);
+    Remove(*excess);
+    ++evicted_;
+    evict();
+  }
+}
+
+}  // namespace bilberryspool::net
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <set>
 
+#include "libs/net/connection_registry.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/server_connection.h"
 #include "libs/net/network_loop.h"
@@ -19,6 +20,10 @@
         acceptor(network_loop.io()),
         state(std::make_shared<ServerState>()) {
     state->options = std::move(options);
+    if (state->options.registry == nullptr) {
+      state->options.registry =
+          std::make_shared<ConnectionRegistry>(ConnectionBudgetOptions{});
+    }
   }
 
   void AcceptLoop();
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -15,6 +15,7 @@
 
 namespace bilberryspool::net {
 
+class ConnectionRegistry;
 class NetworkLoop;
 
 struct HttpServerOptions {
@@ -29,6 +30,9 @@
   Duration idle_timeout = Seconds(60);
   // Maximum time that a write to the caller may block.
   Duration write_timeout = Seconds(20);
+  // Bounds what the connections hold together; servers of one process share it.
+  // Null: this server has its own.
+  std::shared_ptr<ConnectionRegistry> registry;
 };
 
 // One request and its response. The handler calls exactly one of Respond() and
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -5,9 +5,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
 #include "libs/net/internal/server_exchange.h"
+#include "libs/net/steady_time.h"
 
 namespace bilberryspool::net::internal {
 
@@ -31,6 +33,21 @@
   return {400, "malformed request\n"};
 }
 
+constexpr Rejection kOverloaded = {503, "not run; come back later\n"};
+
+// What the fields of a request hold: as they are here, as they are sent on, and
+// in the form of the parser.
+std::size_t HeldBytes(const HttpHeaders& headers) {
+  constexpr std::size_t kCopies = 3;
+  // Two short strings each, and the block that each copy is allocated in.
+  constexpr std::size_t kFieldBytes = sizeof(HttpHeader) + 32;
+  std::size_t bytes = 0;
+  for (const HttpHeader& field : headers) {
+    bytes += kFieldBytes + field.name.size() + field.value.size();
+  }
+  return kCopies * bytes;
+}
+
 std::string_view TextOf(const boost::beast::flat_buffer& buffer) {
   const auto data = buffer.cdata();
   return {static_cast<const char*>(data.data()), data.size()};
@@ -81,64 +98,70 @@
 }
 
 void ServerConnection::Serve() {
+  id_ = state_->options.registry->Add([this] { Evict(); }, SteadyNow());
   while (keep_alive_) {
     if (!WaitForFirstByte()) {
       break;
     }
     HttpRequest request;
-    if (ReadRequest(request) != ReadOutcome::kRequest) {
+    if (const auto failure = ReadRequest(request)) {
+      request = {};
+      if (const auto* rejection = std::get_if<Rejection>(&*failure)) {
+        Reject(*rejection);
+      }
       break;
     }
     if (!HandleRequest(std::move(request))) {
       break;
     }
   }
+  state_->options.registry->Remove(id_);
   Close();
 }
 
 bool ServerConnection::WaitForFirstByte() {
+  if (buffer_.size() == 0) {
+    buffer_.shrink_to_fit();
+  }
+  request_bytes_ = 0;
+  UpdateHeldBytes();
   if (buffer_.size() > 0) {
-    return true;
+    return !is_evicted_;
   }
-  if (state_->is_draining) {
+  if (state_->is_draining || is_evicted_) {
     return false;
   }
   is_idle_ = true;
   stream_.expires_after(state_->options.idle_timeout);
   constexpr std::size_t kFirstRead = 4096;
-  const IoOutcome outcome = Await([&](auto handler) {
-    stream_.async_read_some(buffer_.prepare(kFirstRead), handler);
-  });
+  const auto failure = ReadSome(kFirstRead);
   is_idle_ = false;
-  if (outcome.error) {
-    return false;
-  }
-  buffer_.commit(outcome.bytes);
-  return true;
+  return !failure.has_value();
 }
 
-ServerConnection::ReadOutcome ServerConnection::ReadRequest(
+std::optional<ServerConnection::ReadFailure> ServerConnection::ReadRequest(
     HttpRequest& request) {
+  state_->options.registry->Enter(id_, ConnectionPhase::kReading, SteadyNow());
   Parser parser;
   parser.header_limit(
       static_cast<std::uint32_t>(state_->options.max_header_bytes));
   parser.body_limit(state_->options.max_body_bytes);
   stream_.expires_after(state_->options.request_timeout);
-  if (const auto error = ReadHead()) {
-    return RejectBadRequest(*error);
+  if (const auto failure = ReadHead()) {
+    return failure;
   }
   if (HasFoldedLine(TextOf(buffer_).substr(0, EndOfHead(TextOf(buffer_))))) {
-    return Reject({400, "folded header line\n"});
+    return Rejection{400, "folded header line\n"};
   }
   const IoOutcome header = Await([&](auto handler) {
     http::async_read_header(stream_, buffer_, parser, handler);
   });
   if (header.error) {
-    return RejectBadRequest(header.error);
+    return ToFailure(header.error);
   }
   if (const auto rejection =
           FindAmbiguity(parser.get(), parser.get().version())) {
-    return Reject(*rejection);
+    return *rejection;
   }
   if (EqualNames(std::string(parser.get()[http::field::expect]),
                  "100-continue")) {
@@ -148,48 +171,67 @@
       http::async_write(stream_, continue_response, handler);
     });
   }
-  if (const auto error = ReadBody(parser, request.body)) {
-    return RejectBadRequest(*error);
+  if (const auto failure = ReadBody(parser, request.body)) {
+    return failure;
   }
   http_version_ = parser.get().version();
   keep_alive_ = parser.get().keep_alive();
   request.method = std::string(parser.get().method_string());
   request.target = std::string(parser.get().target());
   request.headers = FromFields(parser.get());
-  return ReadOutcome::kRequest;
+  return std::nullopt;
+}
+
+// Reads until the whole head is in the buffer, so that it can be checked before
+// it is parsed.
+std::optional<ServerConnection::ReadFailure> ServerConnection::ReadHead() {
+  constexpr std::size_t kRead = 4096;
+  while (EndOfHead(TextOf(buffer_)) == std::string_view::npos) {
+    if (buffer_.size() > state_->options.max_header_bytes) {
+      return ToFailure(http::make_error_code(http::error::header_limit));
+    }
+    if (const auto failure = ReadSome(kRead)) {
+      return failure;
+    }
+  }
+  return std::nullopt;
 }
 
 // The parser takes the beginning of a chunk, and all trailers, only when it has
 // them whole; what waits for that is as bounded as the head.
-std::optional<boost::system::error_code> ServerConnection::ReadBody(
+std::optional<ServerConnection::ReadFailure> ServerConnection::ReadBody(
     Parser& parser,
     std::string& body) {
   constexpr std::size_t kRead = 16UL * 1024;
+  const std::size_t head_bytes = HeldBytes(FromFields(parser.get()));
   parser.eager(true);
   while (!parser.is_done()) {
     boost::system::error_code error;
     if (buffer_.size() > 0) {
       error = ParseBuffered(parser, body);
     }
+    request_bytes_ = head_bytes + body.capacity();
+    UpdateHeldBytes();
     if (error == http::error::need_buffer) {
       continue;
     }
     if (error && error != http::error::need_more) {
-      return error;
+      return ToFailure(error);
     }
     if (parser.is_done()) {
       break;
     }
     if (buffer_.size() > state_->options.max_header_bytes) {
-      return http::make_error_code(http::error::header_limit);
+      return ToFailure(http::make_error_code(http::error::header_limit));
     }
-    const IoOutcome outcome = Await([&](auto handler) {
-      stream_.async_read_some(buffer_.prepare(kRead), handler);
-    });
-    if (outcome.error) {
-      return outcome.error;
+    if (const auto failure = ReadSome(kRead)) {
+      return failure;
     }
-    buffer_.commit(outcome.bytes);
+  }
+  request_bytes_ = head_bytes + body.capacity();
+  UpdateHeldBytes();
+  if (is_evicted_) {
+    return kOverloaded;
   }
   return std::nullopt;
 }
@@ -207,50 +249,66 @@
   return error;
 }
 
-// Reads until the whole head is in the buffer, so that it can be checked before
-// it is parsed.
-std::optional<boost::system::error_code> ServerConnection::ReadHead() {
-  constexpr std::size_t kRead = 4096;
-  while (EndOfHead(TextOf(buffer_)) == std::string_view::npos) {
-    if (buffer_.size() > state_->options.max_header_bytes) {
-      return http::make_error_code(http::error::header_limit);
-    }
-    const IoOutcome outcome = Await([&](auto handler) {
-      stream_.async_read_some(buffer_.prepare(kRead), handler);
-    });
-    if (outcome.error) {
-      return outcome.error;
+std::optional<ServerConnection::ReadFailure> ServerConnection::ReadSome(
+    std::size_t size) {
+  const auto space = buffer_.prepare(size);
+  UpdateHeldBytes();
+  if (!is_evicted_) {
+    const IoOutcome outcome =
+        Await([&](auto handler) { stream_.async_read_some(space, handler); });
+    if (outcome.error && !is_evicted_) {
+      return ToFailure(outcome.error);
     }
     buffer_.commit(outcome.bytes);
   }
+  if (is_evicted_) {
+    return kOverloaded;
+  }
   return std::nullopt;
 }
 
-ServerConnection::ReadOutcome ServerConnection::RejectBadRequest(
-    const boost::system::error_code& error) {
+ServerConnection::ReadFailure ServerConnection::ToFailure(
+    const boost::system::error_code& error) const {
   const HttpErrorKind kind = ToHttpError(error).kind;
-  const bool is_gone =
-      kind == HttpErrorKind::kClosed || kind == HttpErrorKind::kCancelled;
-  return is_gone ? ReadOutcome::kClosed : Reject(ToRejection(error));
+  if (kind == HttpErrorKind::kClosed || kind == HttpErrorKind::kCancelled) {
+    return Closed{};
+  }
+  return ToRejection(error);
+}
+
+void ServerConnection::UpdateHeldBytes() {
+  if (!is_evicted_) {
+    state_->options.registry->Hold(id_, buffer_.capacity() + request_bytes_);
+  }
 }
 
-ServerConnection::ReadOutcome ServerConnection::Reject(
-    const Rejection& rejection) {
+// Called from the fiber of another connection, or from UpdateHeldBytes().
+void ServerConnection::Evict() {
+  is_evicted_ = true;
+  stream_.cancel();
+}
+
+void ServerConnection::Reject(const Rejection& rejection) {
   ++state_->counts.bad_requests;
   keep_alive_ = false;
   if (!stream_.socket().is_open()) {
-    return ReadOutcome::kRejected;
+    return;
   }
+  buffer_.clear();
+  buffer_.shrink_to_fit();
   ServerExchange exchange(*this, HttpRequest{});
   HttpResponseHead head;
   head.status = rejection.status;
   head.headers.Add("Content-Type", "text/plain");
+  if (rejection.status == status::kUnavailable) {
+    head.headers.Add("Retry-After", "1");
+  }
   exchange.Respond(std::move(head), rejection.text);
-  return ReadOutcome::kRejected;
 }
 
 bool ServerConnection::HandleRequest(HttpRequest request) {
   ++state_->counts.requests_in_progress;
+  state_->options.registry->Enter(id_, ConnectionPhase::kHandling, SteadyNow());
   ServerExchange exchange(*this, std::move(request));
   state_->handler(exchange);
   --state_->counts.requests_in_progress;
@@ -264,6 +322,7 @@
     boost::system::error_code ignored;
     stream_.socket().cancel(ignored);
   }
+  state_->options.registry->Enter(id_, ConnectionPhase::kWaiting, SteadyNow());
   return keep_alive_ && exchange.is_complete();
 }
 
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -11,7 +11,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
+#include "libs/net/connection_registry.h"
 #include "libs/net/http_server.h"
 
 namespace bilberryspool::net::internal {
@@ -49,23 +51,30 @@
  private:
   friend class ServerExchange;
 
-  enum class ReadOutcome { kRequest, kClosed, kRejected };
+  // What the client did not send as a request: nothing, as it has closed, or
+  // something that is not served.
+  struct Closed {};
+  using ReadFailure = std::variant<Closed, Rejection>;
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
-  ReadOutcome ReadRequest(HttpRequest& request);
-  std::optional<boost::system::error_code> ReadHead();
-  std::optional<boost::system::error_code> ReadBody(Parser& parser,
-                                                    std::string& body);
+  std::optional<ReadFailure> ReadRequest(HttpRequest& request);
+  std::optional<ReadFailure> ReadHead();
+  std::optional<ReadFailure> ReadBody(Parser& parser, std::string& body);
   // Moves what the buffer has of the body to `body`. Returns need_more where
   // the rest of a chunk's beginning or of the trailers is missing, and
   // need_buffer where it has to be called again.
   boost::system::error_code ParseBuffered(Parser& parser, std::string& body);
-  ReadOutcome Reject(const Rejection& rejection);
-  ReadOutcome RejectBadRequest(const boost::system::error_code& error);
+  // Reads up to `size` bytes into the buffer.
+  std::optional<ReadFailure> ReadSome(std::size_t size);
+  ReadFailure ToFailure(const boost::system::error_code& error) const;
+  void Reject(const Rejection& rejection);
   bool WaitForFirstByte();
   // Returns whether the connection stays open for another request.
   bool HandleRequest(HttpRequest request);
+  // Tells the registry what the connection holds.
+  void UpdateHeldBytes();
+  void Evict();
   void WatchForClose();
   void Close();
 
@@ -73,6 +82,11 @@
   boost::beast::flat_buffer buffer_;
   std::shared_ptr<ServerState> state_;
   std::string peer_address_;
+  ConnectionId id_;
+  // What the present request holds besides the buffer.
+  std::size_t request_bytes_ = 0;
+  // The registry had no room; what was read is not served.
+  bool is_evicted_ = false;
   bool is_idle_ = false;
   bool keep_alive_ = true;
   unsigned http_version_ = 11;
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <memory>
 
+#include "libs/net/connection_registry.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
 #include "libs/telemetry/metrics.h"
@@ -54,7 +55,7 @@
                 interface.read_configuration),
         peers_(
             loop_,
-            OptionsFor(settings.peers_listen, kMaxPeerBodyBytes),
+            OptionsFor(settings.peers_listen, kMaxPeerBodyBytes, registry_),
             authenticator,
             [this](net::HttpExchange& exchange) { groups_.Serve(exchange); },
             [this](const std::string& peer, net::LinkRefusal refusal) {
@@ -62,11 +63,15 @@
                         {{"peer", peer}, {"reason", net::Describe(refusal)}});
             }),
         operators_(loop_,
-                   OptionsFor(settings.operators_listen, kMaxOperatorBodyBytes),
+                   OptionsFor(settings.operators_listen,
+                              kMaxOperatorBodyBytes,
+                              registry_),
                    interface.make_handler(node_)),
         metrics_server_(
             loop_,
-            OptionsFor(settings.metrics_listen, kMaxMetricsRequestBytes),
+            OptionsFor(settings.metrics_listen,
+                       kMaxMetricsRequestBytes,
+                       registry_),
             [this](net::HttpExchange& exchange) { Serve(exchange); }) {}
 
   void Run() {
@@ -91,8 +96,10 @@
  private:
   static net::HttpServerOptions OptionsFor(
       const settings::SocketAddress& address,
-      std::size_t max_body_bytes) {
+      std::size_t max_body_bytes,
+      std::shared_ptr<net::ConnectionRegistry> registry) {
     net::HttpServerOptions options;
+    options.registry = std::move(registry);
     options.listen = ToEndpoint(address);
     options.max_body_bytes = max_body_bytes;
     return options;
@@ -211,6 +218,8 @@
   EvacuationService evacuation_service_;
   links::LinkClient links_;
   GroupManager groups_;
+  std::shared_ptr<net::ConnectionRegistry> registry_ =
+      std::make_shared<net::ConnectionRegistry>(net::ConnectionBudgetOptions{});
   links::LinkServer peers_;
   net::HttpServer operators_;
   net::HttpServer metrics_server_;
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libs/declared_limits/limit_codec.h"
+#include "libs/net/connection_registry.h"
 #include "libs/net/http_server.h"
 #include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
@@ -63,15 +64,15 @@
                   common.node.value(),
                   interface.read_configuration),
         callers_(loop_,
-                 CallerOptions(settings),
+                 CallerOptions(settings, registry_),
                  [this](net::HttpExchange& exchange) { Serve(exchange); }),
         readiness_(
             loop_,
-            OptionsFor(settings.readiness_listen),
+            OptionsFor(settings.readiness_listen, registry_),
             [this](net::HttpExchange& exchange) { ServeReadiness(exchange); }),
         metrics_(
             loop_,
-            OptionsFor(settings.metrics_listen),
+            OptionsFor(settings.metrics_listen, registry_),
             [this](net::HttpExchange& exchange) { ServeMetrics(exchange); }) {}
 
   void Run() {
@@ -94,15 +95,19 @@
 
  private:
   static net::HttpServerOptions OptionsFor(
-      const settings::SocketAddress& address) {
+      const settings::SocketAddress& address,
+      std::shared_ptr<net::ConnectionRegistry> registry) {
     net::HttpServerOptions options;
     options.listen = ToEndpoint(address);
+    options.registry = std::move(registry);
     return options;
   }
 
   static net::HttpServerOptions CallerOptions(
-      const settings::GatewaySettings& settings) {
-    net::HttpServerOptions options = OptionsFor(settings.callers_listen);
+      const settings::GatewaySettings& settings,
+      std::shared_ptr<net::ConnectionRegistry> registry) {
+    net::HttpServerOptions options =
+        OptionsFor(settings.callers_listen, std::move(registry));
     options.max_header_bytes = kMaxHeaderBytes;
     options.max_body_bytes = kMaxBodyBytes;
     options.max_connections = settings.max_open_connections;
@@ -329,6 +334,8 @@
   GatewayState state_;
   std::shared_ptr<const net::LinkAuthenticator> authenticator_;
   ControlFollower follower_;
+  std::shared_ptr<net::ConnectionRegistry> registry_ =
+      std::make_shared<net::ConnectionRegistry>(net::ConnectionBudgetOptions{});
   net::HttpServer callers_;
   net::HttpServer readiness_;
   net::HttpServer metrics_;
