Long bodies that are freed stay in the heap

Callers saw nothing; the peak of a process was twice the bound of what its connections hold.

Cause: the allocator raises the size from which it maps blocks apart with each long block that is freed; bodies that grow by doubling then leave holes in the heap that are not returned.

Why this works: with the threshold fixed at its initial value each long block is returned when it is freed.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,6 +1,7 @@
 // Entry point of the program: selects the subcommand and runs it.
 
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 #include <iostream>
 #include <string>
@@ -176,6 +177,10 @@
 }  // namespace bilberryspool
 
 int main(int argc, char** argv) {
+  // The default grows with each long block that is freed, and such blocks stay
+  // in the heap from then on.
+  constexpr int kMmapThresholdBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   gflags::SetUsageMessage("bilberryspool COMMAND [flags]; see help");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return bilberryspool::Run(argc, argv);
