Trailers of a chunked body count as fields of the head

Callers saw nothing. A client could add a second Host, an Api-Key or any other field to a request behind its body, after the head had been checked, and targets received it.

Cause: the parser adds trailers to the fields of the message, and these were read after the body.

Evidence: request_body_test, "trailers are no header fields"; on the fields are Host=h;Host=other;Connection=close;Transfer-Encoding=chunked; Api-Key=k2;. Now without the trailers' two.

Why this works: the fields are read before the body; trailers are dropped, as RFC 9110, 6.5.1 allows.

--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -171,15 +171,13 @@
       http::async_write(stream_, continue_response, handler);
     });
   }
-  if (const auto failure = ReadBody(parser, request.body)) {
-    return failure;
-  }
   http_version_ = parser.get().version();
   keep_alive_ = parser.get().keep_alive();
   request.method = std::string(parser.get().method_string());
   request.target = std::string(parser.get().target());
+  // Before the body: the parser adds trailers to the fields, unchecked.
   request.headers = FromFields(parser.get());
-  return std::nullopt;
+  return ReadBody(parser, request);
 }
 
 // Reads until the whole head is in the buffer, so that it can be checked before
@@ -201,16 +199,16 @@
 // them whole; what waits for that is as bounded as the head.
 std::optional<ServerConnection::ReadFailure> ServerConnection::ReadBody(
     Parser& parser,
-    std::string& body) {
+    HttpRequest& request) {
   constexpr std::size_t kRead = 16UL * 1024;
-  const std::size_t head_bytes = HeldBytes(FromFields(parser.get()));
+  const std::size_t head_bytes = HeldBytes(request.headers);
   parser.eager(true);
   while (!parser.is_done()) {
     boost::system::error_code error;
     if (buffer_.size() > 0) {
-      error = ParseBuffered(parser, body);
+      error = ParseBuffered(parser, request.body);
     }
-    request_bytes_ = head_bytes + body.capacity();
+    request_bytes_ = head_bytes + request.body.capacity();
     UpdateHeldBytes();
     if (error == http::error::need_buffer) {
       continue;
@@ -228,7 +226,7 @@
       return failure;
     }
   }
-  request_bytes_ = head_bytes + body.capacity();
+  request_bytes_ = head_bytes + request.body.capacity();
   UpdateHeldBytes();
   if (is_evicted_) {
     return kOverloaded;
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -60,7 +60,7 @@
 
   std::optional<ReadFailure> ReadRequest(HttpRequest& request);
   std::optional<ReadFailure> ReadHead();
-  std::optional<ReadFailure> ReadBody(Parser& parser, std::string& body);
+  std::optional<ReadFailure> ReadBody(Parser& parser, HttpRequest& request);
   // Moves what the buffer has of the body to `body`. Returns need_more where
   // the rest of a chunk's beginning or of the trailers is missing, and
   // need_buffer where it has to be called again.
--- a/tests/auto/net/request_body_test.cc
+++ b/tests/auto/net/request_body_test.cc
@@ -126,6 +126,28 @@
   }
 }
 
+// Guards against fields that are added to a head after it was checked, such as
+// another Host.
+TEST_CASE("trailers are no header fields") {
+  const Exchanged exchanged =
+      Send(Head("Transfer-Encoding: chunked\r\n") + Chunk("x") +
+           "0\r\nHost: other\r\nApi-Key: k2\r\n\r\n");
+  CHECK(exchanged.body == "x");
+  CHECK(exchanged.fields ==
+        "Host=h;Connection=close;Transfer-Encoding=chunked;");
+}
+
+TEST_CASE("a head of exactly the limit is served, a longer one is not") {
+  const std::string rest = Head(
+      "Content-Length: 1\r\n"
+      "X-Filler: \r\n");
+  const std::string filler(kMaxHead - rest.size(), 'a');
+  const std::string fields = "Content-Length: 1\r\nX-Filler: ";
+  CHECK(Send(Head(fields + filler + "\r\n") + "x").body == "x");
+  const Exchanged refused = Send(Head(fields + filler + "a\r\n") + "x");
+  CHECK(refused.received.starts_with("HTTP/1.1 431"));
+}
+
 // Guards against servers that read a body, trailers or a chunk extension beyond
 // any limit.
 TEST_CASE("what is over a limit is refused") {
