Long requests in progress are held three times and without a bound

Callers saw: connections that break, as the process had ended out of memory, where many requests with long bodies are whole and wait for their targets.

Cause: the body of a request is copied for the target and again for the library that sends it, and nothing bounds the sum.

Why this works: the body is sent from where it was read. Requests in progress count in the budget; a long one is handled only while those in progress hold less than three quarters of it, and is told 503 with Retry-After otherwise: it has not run. The rest is left to short ones.

--- a/src/libs/net/connection_budget.cc
+++ b/src/libs/net/connection_budget.cc
@@ -1,9 +1,25 @@
 #include "libs/net/connection_budget.h"
 
+#include <algorithm>
+
 namespace bilberryspool::net {
 
+ConnectionBudgetOptions BudgetForMemory(double memory_mb) {
+  // The process itself, and answers that it keeps until they are whole.
+  constexpr double kOtherMb = 40.0;
+  constexpr double kMinMb = 16.0;
+  // The rest is for blocks of the heap that are free but not returned, and for
+  // bodies that are moved as they grow.
+  constexpr double kHeldPart = 0.6;
+  constexpr double kBytesPerMb = 1e6;
+  ConnectionBudgetOptions options;
+  options.max_bytes = static_cast<std::size_t>(
+      std::max((memory_mb - kOtherMb) * kHeldPart, kMinMb) * kBytesPerMb);
+  return options;
+}
+
 ConnectionId ConnectionBudget::Add(TimePoint now) {
-  last_id_ = ConnectionId(last_id_.value() + 1);
+  last_id_ = last_id_.Next();
   Connection connection;
   connection.since = now;
   held_bytes_ += connection.bytes;
@@ -16,7 +32,11 @@
   if (found == connections_.end()) {
     return;
   }
-  held_bytes_ -= found->second.bytes;
+  const Connection& connection = found->second;
+  held_bytes_ -= connection.bytes;
+  if (connection.phase == ConnectionPhase::kHandling) {
+    handled_bytes_ -= connection.bytes;
+  }
   connections_.erase(found);
 }
 
@@ -27,8 +47,15 @@
   if (found == connections_.end()) {
     return;
   }
-  found->second.phase = phase;
-  found->second.since = now;
+  Connection& connection = found->second;
+  if (connection.phase == ConnectionPhase::kHandling) {
+    handled_bytes_ -= connection.bytes;
+  }
+  if (phase == ConnectionPhase::kHandling) {
+    handled_bytes_ += connection.bytes;
+  }
+  connection.phase = phase;
+  connection.since = now;
 }
 
 void ConnectionBudget::Hold(ConnectionId id, std::size_t bytes) {
@@ -36,9 +63,13 @@
   if (found == connections_.end()) {
     return;
   }
-  held_bytes_ -= found->second.bytes;
-  found->second.bytes = kConnectionBytes + bytes;
-  held_bytes_ += found->second.bytes;
+  Connection& connection = found->second;
+  const std::size_t before = connection.bytes;
+  connection.bytes = kConnectionBytes + bytes;
+  held_bytes_ += connection.bytes - before;
+  if (connection.phase == ConnectionPhase::kHandling) {
+    handled_bytes_ += connection.bytes - before;
+  }
 }
 
 std::optional<ConnectionId> ConnectionBudget::FindExcess() const {
@@ -69,4 +100,17 @@
   return excess;
 }
 
+bool ConnectionBudget::MayHandle(ConnectionId id) const {
+  // A request that is no longer than this is never refused.
+  constexpr std::size_t kShortBytes = 64UL * 1024;
+  const auto found = connections_.find(id);
+  return found != connections_.end() &&
+         (found->second.bytes <= kConnectionBytes + kShortBytes ||
+          handled_bytes_ + found->second.bytes <= max_long_bytes());
+}
+
+std::size_t ConnectionBudget::max_long_bytes() const {
+  return options_.max_bytes / 4 * 3;
+}
+
 }  // namespace bilberryspool::net
--- a/src/libs/net/connection_budget.h
+++ b/src/libs/net/connection_budget.h
@@ -9,6 +9,7 @@
 #define LIBS_NET_CONNECTION_BUDGET_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -28,9 +29,12 @@
 struct ConnectionBudgetOptions {
   // What all connections may hold: what they have read, and
   // kConnectionBytes each.
-  std::size_t max_bytes = 40UL * 1024 * 1024;
+  std::size_t max_bytes = 256UL * 1024 * 1024;
 };
 
+// Options for a process that may take `memory_mb` MB in all.
+ConnectionBudgetOptions BudgetForMemory(double memory_mb);
+
 class ConnectionBudget {
  public:
   // Stack, socket and buffers of a connection that holds nothing else.
@@ -53,6 +57,12 @@
   // whole soon after its first byte, and small.
   std::optional<ConnectionId> FindExcess() const;
 
+  // Whether the request of the connection may be handled. Long requests leave
+  // a part of the bytes to short ones, also where no target answers for long.
+  bool MayHandle(ConnectionId id) const;
+  // The longest request that is ever handled, in bytes.
+  std::size_t max_request_bytes() const { return max_long_bytes() / 2; }
+
   std::size_t held_bytes() const { return held_bytes_; }
   std::size_t size() const { return connections_.size(); }
 
@@ -63,10 +73,14 @@
     std::size_t bytes = kConnectionBytes;
   };
 
+  std::size_t max_long_bytes() const;
+
   ConnectionBudgetOptions options_;
   std::map<ConnectionId, Connection> connections_;
   ConnectionId last_id_;
   std::size_t held_bytes_ = 0;
+  // The part of it whose connections are in kHandling.
+  std::size_t handled_bytes_ = 0;
 };
 
 }  // namespace bilberryspool::net
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -91,7 +91,8 @@
     const HttpRequest& request,
     Duration timeout,
     std::shared_ptr<Cancellation> cancellation,
-    const OnProcessing& on_processing) {
+    const OnProcessing& on_processing,
+    std::optional<std::string_view> body) {
   const TimePoint began = SteadyNow();
   ConnectionPointer connection = d_->AcquireIdle(endpoint, began);
   if (connection == nullptr) {
@@ -109,8 +110,9 @@
   constexpr Duration kMinTimeout = Milliseconds(1);
   const Duration remaining =
       std::max(timeout - (SteadyNow() - began), kMinTimeout);
-  auto result = connection->Exchange(request, endpoint.ToString(), remaining,
-                                     on_processing);
+  auto result =
+      connection->Exchange(request, body.value_or(request.body),
+                           endpoint.ToString(), remaining, on_processing);
   if (cancellation != nullptr) {
     cancellation->SetHandler(nullptr);
   }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "libs/base/time.h"
@@ -70,12 +72,15 @@
   // Sends `request` and waits for the head of the response. `timeout` bounds
   // the time to connect and the wait for the head; after an interim response it
   // starts again. A pooled connection that turns out to be closed before any
-  // response gives kClosed, as the request may have run.
+  // response gives kClosed, as the request may have run. With `body`, that is
+  // sent instead of the request's, which is not copied; it must stay valid
+  // until the call returns.
   OpenResult Open(const Endpoint& endpoint,
                   const HttpRequest& request,
                   Duration timeout,
                   std::shared_ptr<Cancellation> cancellation = nullptr,
-                  const OnProcessing& on_processing = nullptr);
+                  const OnProcessing& on_processing = nullptr,
+                  std::optional<std::string_view> body = std::nullopt);
 
   // Sends `request` and reads the whole response within `timeout`.
   SendResult Send(const Endpoint& endpoint,
--- a/src/libs/net/internal/beast_convert.cc
+++ b/src/libs/net/internal/beast_convert.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
+#include <string_view>
 
 namespace bilberryspool::net::internal {
 
@@ -25,21 +26,30 @@
   }
 }
 
-http::request<http::string_body> ToBeastRequest(const HttpRequest& request,
-                                                const std::string& host) {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  ToFields(request.headers, message);
+std::string MakeHeadText(const HttpRequest& request,
+                         std::size_t body_bytes,
+                         const std::string& host) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  const auto add = [&text](std::string_view name, std::string_view value) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (const HttpHeader& field : request.headers) {
+    if (!IsHopByHopHeader(field.name)) {
+      add(field.name, field.value);
+    }
+  }
   // A relayed request keeps the Host of its caller.
-  if (message.find(http::field::host) == message.end()) {
-    message.set(http::field::host, host);
+  if (!request.headers.Find("Host").has_value()) {
+    add("Host", host);
+  }
+  const bool has_body_by_method = request.method == "POST" ||
+                                  request.method == "PUT" ||
+                                  request.method == "OPTIONS";
+  if (body_bytes > 0 || has_body_by_method) {
+    add("Content-Length", std::to_string(body_bytes));
   }
-  message.keep_alive(true);
-  message.body() = request.body;
-  message.prepare_payload();
-  return message;
+  text += "\r\n";
+  return text;
 }
 
 HttpError ToHttpError(const boost::system::error_code& error) {
--- a/src/libs/net/internal/beast_convert.h
+++ b/src/libs/net/internal/beast_convert.h
@@ -2,8 +2,8 @@
 #define LIBS_NET_INTERNAL_BEAST_CONVERT_H_
 
 #include <boost/beast/http/fields.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <string>
 
 #include "libs/net/http_error.h"
 #include "libs/net/http_message.h"
@@ -15,9 +15,12 @@
 // Copies all fields except the hop-by-hop ones.
 void ToFields(const HttpHeaders& headers, boost::beast::http::fields& fields);
 
-boost::beast::http::request<boost::beast::http::string_body> ToBeastRequest(
-    const HttpRequest& request,
-    const std::string& host);
+// The head of a request with a body of `body_bytes` bytes, as it is sent. The
+// library would send each field as a buffer of its own, which takes a time that
+// grows with the square of their number.
+std::string MakeHeadText(const HttpRequest& request,
+                         std::size_t body_bytes,
+                         const std::string& host);
 
 HttpError ToHttpError(const boost::system::error_code& error);
 
--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -1,9 +1,11 @@
 #include "libs/net/internal/client_connection.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
@@ -57,13 +59,17 @@
 
 std::variant<HttpResponseHead, HttpError> ClientConnection::Exchange(
     const HttpRequest& request,
+    std::string_view body,
     const std::string& host,
     Duration timeout,
     const HttpClient::OnProcessing& on_processing) {
-  auto message = ToBeastRequest(request, host);
+  const std::string head = MakeHeadText(request, body.size(), host);
+  const std::array<boost::asio::const_buffer, 2> message = {
+      boost::asio::buffer(head), boost::asio::buffer(body)};
   stream_.expires_after(timeout);
-  const IoOutcome written = Await(
-      [&](auto handler) { http::async_write(stream_, message, handler); });
+  const IoOutcome written = Await([&](auto handler) {
+    boost::asio::async_write(stream_, message, handler);
+  });
   if (written.error) {
     return Fail(written.error);
   }
--- a/src/libs/net/internal/client_connection.h
+++ b/src/libs/net/internal/client_connection.h
@@ -25,6 +25,7 @@
   // Sends the request and reads the head of the response.
   std::variant<HttpResponseHead, HttpError> Exchange(
       const HttpRequest& request,
+      std::string_view body,
       const std::string& host,
       Duration timeout,
       const HttpClient::OnProcessing& on_processing);
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -228,7 +228,7 @@
   }
   request_bytes_ = head_bytes + request.body.capacity();
   UpdateHeldBytes();
-  if (is_evicted_) {
+  if (is_evicted_ || !state_->options.registry->budget().MayHandle(id_)) {
     return kOverloaded;
   }
   return std::nullopt;
--- a/src/libs/settings/key_table.cc
+++ b/src/libs/settings/key_table.cc
@@ -225,6 +225,12 @@
                    InEntry([](S & s) -> auto& { return s.network_threads; })});
 }
 
+constexpr NumberKind kMemoryKind{64.0, 1e6};
+constexpr char kMemoryMeaning[] =
+    "Memory that the process may take, in MB. What clients send may take "
+    "six tenths of what is over 40 MB; beyond that, a request that is not "
+    "whole is refused, and silent connections are closed.";
+
 void AddEntryLimitKeys(Specs& specs) {
   using S = EntrySettings;
   constexpr auto scope = KeyScope::kEntry;
@@ -240,6 +246,9 @@
       {"limits.max_open_connections", scope, IntegerKind{1, 1'000'000},
        Integer(10'000), "Connections of callers open at a time.",
        InEntry([](S & s) -> auto& { return s.limits.max_open_connections; })});
+  specs.push_back({"limits.memory_mb", scope, kMemoryKind, Number(512.0),
+                   kMemoryMeaning,
+                   InEntry([](S & s) -> auto& { return s.limits.memory_mb; })});
   specs.push_back(
       {"limits.header_timeout_ms", scope, IntegerKind{1, kDayMs},
        Integer(10'000), "Time for a caller to send the header of a request.",
@@ -336,6 +345,9 @@
       {"limits.max_open_connections", scope, IntegerKind{1, 1'000'000},
        Integer(3'000), "Connections of callers open at a time.",
        InGateway([](S & s) -> auto& { return s.max_open_connections; })});
+  specs.push_back({"limits.memory_mb", scope, kMemoryKind, Number(112.0),
+                   kMemoryMeaning,
+                   InGateway([](S & s) -> auto& { return s.memory_mb; })});
   specs.push_back({"drain.grace_s", scope, NumberKind{0.0, 86400.0}, Required{},
                    "How long after the stop signal the platform ends the "
                    "process.",
@@ -407,6 +419,9 @@
       {"announcements.interval_ms", scope, IntegerKind{1, kDayMs}, Required{},
        "How often a target announces itself.",
        InControl([](S & s) -> auto& { return s.announcement_interval; })});
+  specs.push_back({"limits.memory_mb", scope, kMemoryKind, Number(112.0),
+                   kMemoryMeaning,
+                   InControl([](S & s) -> auto& { return s.memory_mb; })});
   specs.push_back({"drain.grace_s", scope, NumberKind{0.0, 86400.0}, Required{},
                    "How long after the stop signal the platform ends the "
                    "process.",
@@ -422,6 +437,9 @@
   specs.push_back({"engine.address", scope, AddressKind{}, Required{},
                    "Where the engine listens, on the same VM.",
                    InSidecar([](S & s) -> auto& { return s.engine; })});
+  specs.push_back({"limits.memory_mb", scope, kMemoryKind, Number(112.0),
+                   kMemoryMeaning,
+                   InSidecar([](S & s) -> auto& { return s.memory_mb; })});
 }
 
 KeyScope ScopeOf(const EntrySettings&) {
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -59,6 +59,7 @@
   std::uint64_t max_header_bytes = 0;
   std::uint64_t max_body_bytes = 0;
   std::uint64_t max_open_connections = 0;
+  double memory_mb = 0.0;
   Duration header_timeout{};
   Duration idle_timeout{};
   Duration default_deadline{};
@@ -140,6 +141,7 @@
   std::optional<std::uint32_t> sidecars_port;
   SocketAddress metrics_listen;
   std::uint64_t max_open_connections = 0;
+  double memory_mb = 0.0;
   Duration drain_grace{};
   RetryLimits retries;
   ColdTargetLimits cold_targets;
@@ -163,12 +165,14 @@
   bool shares_group_loads = false;
   Duration announcement_interval{};
   Duration drain_grace{};
+  double memory_mb = 0.0;
 };
 
 // Settings of a sidecar, which runs beside one engine and relays to it.
 struct SidecarSettings {
   SocketAddress peers_listen;
   SocketAddress engine;
+  double memory_mb = 0.0;
 };
 
 // The settings of one process; `role` holds the settings specific to its role.
--- a/src/plugins/callers/callers_service.cc
+++ b/src/plugins/callers/callers_service.cc
@@ -9,6 +9,7 @@
 #include "libs/config/drain_spec.h"
 #include "libs/config/placement_spec.h"
 #include "libs/config/workspace_spec.h"
+#include "libs/net/connection_registry.h"
 #include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
 #include "libs/net/steady_time.h"
@@ -37,6 +38,8 @@
   options.max_header_bytes = settings.limits.max_header_bytes;
   options.max_body_bytes = settings.limits.max_body_bytes;
   options.max_connections = settings.limits.max_open_connections;
+  options.registry = std::make_shared<net::ConnectionRegistry>(
+      net::BudgetForMemory(settings.limits.memory_mb));
   options.request_timeout = settings.limits.header_timeout;
   options.idle_timeout = settings.limits.idle_timeout;
   return options;
--- a/src/plugins/control_node/control_node_process.cc
+++ b/src/plugins/control_node/control_node_process.cc
@@ -219,7 +219,8 @@
   links::LinkClient links_;
   GroupManager groups_;
   std::shared_ptr<net::ConnectionRegistry> registry_ =
-      std::make_shared<net::ConnectionRegistry>(net::ConnectionBudgetOptions{});
+      std::make_shared<net::ConnectionRegistry>(
+          net::BudgetForMemory(settings_.memory_mb));
   links::LinkServer peers_;
   net::HttpServer operators_;
   net::HttpServer metrics_server_;
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -103,6 +103,11 @@
     return options;
   }
 
+  static net::ConnectionBudgetOptions BudgetOptions(
+      const settings::GatewaySettings& settings) {
+    return net::BudgetForMemory(settings.memory_mb);
+  }
+
   static net::HttpServerOptions CallerOptions(
       const settings::GatewaySettings& settings,
       std::shared_ptr<net::ConnectionRegistry> registry) {
@@ -335,7 +340,7 @@
   std::shared_ptr<const net::LinkAuthenticator> authenticator_;
   ControlFollower follower_;
   std::shared_ptr<net::ConnectionRegistry> registry_ =
-      std::make_shared<net::ConnectionRegistry>(net::ConnectionBudgetOptions{});
+      std::make_shared<net::ConnectionRegistry>(BudgetOptions(settings_));
   net::HttpServer callers_;
   net::HttpServer readiness_;
   net::HttpServer metrics_;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -284,7 +284,8 @@
       MakeTargetRequest(exchange_.request(), forwarded, state_.header_names);
   trace_.StartSend(request);
   auto opened =
-      state_.client.Open(endpoint, request, wait_timeout(), cancellation_);
+      state_.client.Open(endpoint, request, wait_timeout(), cancellation_,
+                         nullptr, exchange_.request().body);
   if (const auto* error = std::get_if<net::HttpError>(&opened)) {
     return EvaluateError(choice, *error);
   }
--- a/src/plugins/gateway/request_head.cc
+++ b/src/plugins/gateway/request_head.cc
@@ -87,7 +87,6 @@
   net::HttpRequest forwarded;
   forwarded.method = request.method;
   forwarded.target = request.target;
-  forwarded.body = request.body;
   forwarded.headers = request.headers;
   for (const std::string& name : NominatedFields(request.headers)) {
     forwarded.headers.Remove(name);
--- a/src/plugins/sidecar/sidecar_process.cc
+++ b/src/plugins/sidecar/sidecar_process.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libs/links/link_server.h"
+#include "libs/net/connection_registry.h"
 #include "libs/net/http_client.h"
 #include "libs/net/http_status.h"
 #include "libs/net/network_loop.h"
@@ -60,6 +61,8 @@
       const settings::SidecarSettings& settings) {
     net::HttpServerOptions options;
     options.listen = {settings.peers_listen.ip, settings.peers_listen.port};
+    options.registry = std::make_shared<net::ConnectionRegistry>(
+        net::BudgetForMemory(settings.memory_mb));
     return options;
   }
 
