Heads of very short fields are held uncounted while others are parsed

Callers saw: connections that break, as the process had ended out of memory.

Cause: the call that parses a head suspends its fiber although the head is in the buffer. What the parser makes of 60 KB of fields of 4 bytes takes 1.5 MB, and all connections that are ready at a moment held that much before the first of them was counted.

Why this works: the parser is called directly, and what came of the head is counted before the fiber suspends for the first time.

--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -153,11 +153,12 @@
   if (HasFoldedLine(TextOf(buffer_).substr(0, EndOfHead(TextOf(buffer_))))) {
     return Rejection{400, "folded header line\n"};
   }
-  const IoOutcome header = Await([&](auto handler) {
-    http::async_read_header(stream_, buffer_, parser, handler);
-  });
-  if (header.error) {
-    return ToFailure(header.error);
+  // The whole head is in the buffer. Does not suspend: what the parser makes of
+  // a head is long, and not yet counted.
+  boost::system::error_code error;
+  buffer_.consume(parser.put(buffer_.data(), error));
+  if (error) {
+    return ToFailure(error);
   }
   if (const auto rejection =
           FindAmbiguity(parser.get(), parser.get().version())) {
