Silent clients keep all connections, or all descriptors, of a process

Callers saw: their connections closed at once, or no answer at all.

Cause: a connection beyond limits.max_open_connections was closed unread, while silent ones stayed for 60 s. Where the descriptors end first, accept failed each 50 ms as long, and calls to targets failed with it.

Why this works: where there are too many connections, the one that has waited longest for its client is closed, one without any request before first; never one with a request in progress. Where accept finds no descriptor, a quarter of the connections is given up for good and left to calls to targets.

--- a/src/libs/net/connection_budget.cc
+++ b/src/libs/net/connection_budget.cc
@@ -1,6 +1,7 @@
 #include "libs/net/connection_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bilberryspool::net {
 
@@ -53,6 +54,7 @@
   }
   if (phase == ConnectionPhase::kHandling) {
     handled_bytes_ += connection.bytes;
+    connection.was_handled = true;
   }
   connection.phase = phase;
   connection.since = now;
@@ -73,9 +75,31 @@
 }
 
 std::optional<ConnectionId> ConnectionBudget::FindExcess() const {
-  if (held_bytes_ <= options_.max_bytes) {
-    return std::nullopt;
+  if (connections_.size() > options_.max_connections) {
+    return FindSuperfluous();
   }
+  if (held_bytes_ > options_.max_bytes) {
+    return FindLong();
+  }
+  return std::nullopt;
+}
+
+std::optional<ConnectionId> ConnectionBudget::FindSuperfluous() const {
+  std::optional<ConnectionId> excess;
+  std::pair<bool, TimePoint> rank;
+  for (const auto& [id, connection] : connections_) {
+    const std::pair candidate(connection.was_handled, connection.since);
+    if (connection.phase == ConnectionPhase::kHandling ||
+        (excess.has_value() && candidate >= rank)) {
+      continue;
+    }
+    excess = id;
+    rank = candidate;
+  }
+  return excess;
+}
+
+std::optional<ConnectionId> ConnectionBudget::FindLong() const {
   std::size_t bytes = 0;
   std::size_t count = 0;
   for (const auto& [id, connection] : connections_) {
@@ -109,6 +133,11 @@
           handled_bytes_ + found->second.bytes <= max_long_bytes());
 }
 
+void ConnectionBudget::LimitConnections(std::size_t max_connections) {
+  options_.max_connections =
+      std::min(options_.max_connections, max_connections);
+}
+
 std::size_t ConnectionBudget::max_long_bytes() const {
   return options_.max_bytes / 4 * 3;
 }
--- a/src/libs/net/connection_budget.h
+++ b/src/libs/net/connection_budget.h
@@ -30,6 +30,7 @@
   // What all connections may hold: what they have read, and
   // kConnectionBytes each.
   std::size_t max_bytes = 256UL * 1024 * 1024;
+  std::size_t max_connections = 100'000;
 };
 
 // Options for a process that may take `memory_mb` MB in all.
@@ -55,6 +56,7 @@
   // left has a request in progress. Of those that hold no less than the mean,
   // the one that has waited longest for its client: an ordinary request is
   // whole soon after its first byte, and small.
+  // Where there are too many, one that has had no answer yet.
   std::optional<ConnectionId> FindExcess() const;
 
   // Whether the request of the connection may be handled. Long requests leave
@@ -63,6 +65,9 @@
   // The longest request that is ever handled, in bytes.
   std::size_t max_request_bytes() const { return max_long_bytes() / 2; }
 
+  // Lowers the limit on connections, for good.
+  void LimitConnections(std::size_t max_connections);
+
   std::size_t held_bytes() const { return held_bytes_; }
   std::size_t size() const { return connections_.size(); }
 
@@ -71,8 +76,11 @@
     ConnectionPhase phase = ConnectionPhase::kWaiting;
     TimePoint since;
     std::size_t bytes = kConnectionBytes;
+    bool was_handled = false;
   };
 
+  std::optional<ConnectionId> FindSuperfluous() const;
+  std::optional<ConnectionId> FindLong() const;
   std::size_t max_long_bytes() const;
 
   ConnectionBudgetOptions options_;
--- a/src/libs/net/connection_registry.cc
+++ b/src/libs/net/connection_registry.cc
@@ -1,5 +1,6 @@
 #include "libs/net/connection_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberryspool::net {
@@ -27,6 +28,13 @@
   EvictExcess();
 }
 
+void ConnectionRegistry::ReserveDescriptors() {
+  constexpr std::size_t kMinConnections = 16;
+  const std::size_t open = budget_.size();
+  budget_.LimitConnections(std::max(open - open / 4, kMinConnections));
+  EvictExcess();
+}
+
 void ConnectionRegistry::EvictExcess() {
   while (const auto excess = budget_.FindExcess()) {
     const auto found = evictions_.find(*excess);
--- a/src/libs/net/connection_registry.h
+++ b/src/libs/net/connection_registry.h
@@ -27,6 +27,9 @@
   // Sets what the connection holds, then evicts connections, this one perhaps,
   // until all fit.
   void Hold(ConnectionId id, std::size_t bytes);
+  // Called where the process has no descriptor left: from now on a quarter of
+  // those that connections have now is left to calls to other processes.
+  void ReserveDescriptors();
 
   const ConnectionBudget& budget() const { return budget_; }
   // Connections evicted so far.
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -80,7 +80,12 @@
       return;
     }
     if (outcome.error) {
-      // For example out of file descriptors: pause to avoid a busy loop.
+      const bool is_out_of_descriptors =
+          outcome.error == boost::asio::error::no_descriptors;
+      if (is_out_of_descriptors) {
+        state->options.registry->ReserveDescriptors();
+      }
+      // Pause to avoid a busy loop; evicted connections close meanwhile.
       constexpr Duration kPause = Milliseconds(50);
       loop.SleepFor(kPause);
       continue;
@@ -91,10 +96,6 @@
 
 void HttpServer::Private::AddConnection(tcp::socket socket) {
   ++state->counts.accepted;
-  if (connections.size() >= state->options.max_connections) {
-    ++state->counts.refused_over_limit;
-    return;
-  }
   auto connection =
       std::make_shared<ServerConnection>(std::move(socket), state);
   connections.insert(connection);
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -22,7 +22,6 @@
   Endpoint listen;
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 8UL * 1024 * 1024;
-  std::size_t max_connections = 4096;
   // Maximum time from the first byte of a request to its last, so that a slow
   // sender can't occupy a connection forever.
   Duration request_timeout = Seconds(20);
@@ -73,7 +72,6 @@
   std::size_t open_connections = 0;
   std::size_t requests_in_progress = 0;
   std::uint64_t accepted = 0;
-  std::uint64_t refused_over_limit = 0;
   std::uint64_t bad_requests = 0;
 };
 
--- a/src/plugins/callers/callers_service.cc
+++ b/src/plugins/callers/callers_service.cc
@@ -37,9 +37,10 @@
   options.listen = {settings.callers_listen.ip, settings.callers_listen.port};
   options.max_header_bytes = settings.limits.max_header_bytes;
   options.max_body_bytes = settings.limits.max_body_bytes;
-  options.max_connections = settings.limits.max_open_connections;
-  options.registry = std::make_shared<net::ConnectionRegistry>(
-      net::BudgetForMemory(settings.limits.memory_mb));
+  net::ConnectionBudgetOptions budget =
+      net::BudgetForMemory(settings.limits.memory_mb);
+  budget.max_connections = settings.limits.max_open_connections;
+  options.registry = std::make_shared<net::ConnectionRegistry>(budget);
   options.request_timeout = settings.limits.header_timeout;
   options.idle_timeout = settings.limits.idle_timeout;
   return options;
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -105,7 +105,10 @@
 
   static net::ConnectionBudgetOptions BudgetOptions(
       const settings::GatewaySettings& settings) {
-    return net::BudgetForMemory(settings.memory_mb);
+    net::ConnectionBudgetOptions options =
+        net::BudgetForMemory(settings.memory_mb);
+    options.max_connections = settings.max_open_connections;
+    return options;
   }
 
   static net::HttpServerOptions CallerOptions(
@@ -115,7 +118,6 @@
         OptionsFor(settings.callers_listen, std::move(registry));
     options.max_header_bytes = kMaxHeaderBytes;
     options.max_body_bytes = kMaxBodyBytes;
-    options.max_connections = settings.max_open_connections;
     options.idle_timeout = kIdleTimeout;
     return options;
   }
--- a/src/plugins/operators/operators_server.cc
+++ b/src/plugins/operators/operators_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libs/language/rendering.h"
+#include "libs/net/connection_registry.h"
 #include "libs/net/http_server.h"
 #include "libs/net/http_status.h"
 #include "libs/net/link_authenticator.h"
@@ -134,7 +135,9 @@
   options.listen = {settings.operators_listen.ip,
                     settings.operators_listen.port};
   options.max_body_bytes = kMaxBodyBytes;
-  options.max_connections = kMaxConnections;
+  net::ConnectionBudgetOptions budget;
+  budget.max_connections = kMaxConnections;
+  options.registry = std::make_shared<net::ConnectionRegistry>(budget);
   return options;
 }
 
