The limits of the configuration are not in force

Callers saw: nothing; longer bodies and heads than the configuration's limits allow were served, up to the 8 MB and 64 KB of the gateway, and longer ones were refused whatever the configuration allowed.

Cause: gateways read the limits and never used them.

Evidence: configured_limits_test.

Why this works: each configuration that comes into force sets the limits of the callers' server, for requests that begin after that. A request longer than three eighths of the memory for clients can never be served and gets 413, too. The two time limits stay those of the gateway.

--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -120,6 +120,12 @@
   d_->state->options.idle_timeout = timeout;
 }
 
+void HttpServer::SetRequestLimits(std::size_t max_header_bytes,
+                                  std::size_t max_body_bytes) {
+  d_->state->options.max_header_bytes = max_header_bytes;
+  d_->state->options.max_body_bytes = max_body_bytes;
+}
+
 void HttpServer::Drain() {
   d_->state->is_draining = true;
   d_->state->closes_after_answers = true;
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -98,6 +98,11 @@
   // Sets how long a connection may be idle, starting with its next idle period.
   void SetIdleTimeout(Duration timeout);
 
+  // Sets the longest head and body, starting with the next request of each
+  // connection.
+  void SetRequestLimits(std::size_t max_header_bytes,
+                        std::size_t max_body_bytes);
+
   // Stops accepting and closes idle connections; requests in progress continue
   // and their connections close after the response.
   void Drain();
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <limits>
 
 #include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
@@ -143,9 +144,11 @@
     HttpRequest& request) {
   state_->options.registry->Enter(id_, ConnectionPhase::kReading, SteadyNow());
   Parser parser;
-  parser.header_limit(
-      static_cast<std::uint32_t>(state_->options.max_header_bytes));
-  parser.body_limit(state_->options.max_body_bytes);
+  // ReadHead() checks the head.
+  parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+  parser.body_limit(
+      std::min(state_->options.max_body_bytes,
+               state_->options.registry->budget().max_request_bytes()));
   stream_.expires_after(state_->options.request_timeout);
   if (const auto failure = ReadHead()) {
     return failure;
@@ -193,6 +196,9 @@
       return failure;
     }
   }
+  if (EndOfHead(TextOf(buffer_)) > state_->options.max_header_bytes) {
+    return ToFailure(http::make_error_code(http::error::header_limit));
+  }
   return std::nullopt;
 }
 
--- a/src/plugins/gateway/control_follower.cc
+++ b/src/plugins/gateway/control_follower.cc
@@ -333,6 +333,9 @@
           std::move(*configuration)));
   state_.targets.cold_starts().SetRates(
       traffic::ColdStartRates(state_.routes->configuration()));
+  if (state_.on_configuration) {
+    state_.on_configuration(state_.routes->configuration());
+  }
   log_.Info("Configuration in force.",
             {{"version", answer.version},
              {"routes", state_.routes->configuration().routes.size()}});
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -126,6 +126,10 @@
     file_stamp_ = FileStamp();
     ConnectQuarantine();
     ConnectLimits();
+    state_.on_configuration =
+        [this](const traffic::TrafficConfiguration& configuration) {
+          ApplyBounds(configuration.bounds);
+        };
     if (settings_.sidecars_port.has_value()) {
       state_.prober.Connect(
           authenticator_, static_cast<std::uint16_t>(*settings_.sidecars_port));
@@ -142,6 +146,13 @@
     return "";
   }
 
+  // A bound that the configuration doesn't give is that of the gateway.
+  void ApplyBounds(const traffic::CallerBounds& bounds) {
+    callers_.SetRequestLimits(
+        bounds.max_header_bytes > 0 ? bounds.max_header_bytes : kMaxHeaderBytes,
+        bounds.max_body_bytes > 0 ? bounds.max_body_bytes : kMaxBodyBytes);
+  }
+
   void ConnectQuarantine() {
     QuarantineGuard::Links links;
     links.call_all = [this](const std::string& method,
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -66,6 +67,8 @@
   settings::RetryLimits retries;
   // Null until a configuration is known.
   std::shared_ptr<const traffic::RouteTable> routes;
+  // Called for each configuration that comes into force.
+  std::function<void(const traffic::TrafficConfiguration&)> on_configuration;
   traffic::TargetPool targets;
   LimitGrants grants;
   urgency::StreamPauses stream_pauses{urgency::StreamPausesOptions{}};
