Metrics and a log line for connections closed for want of room

Operators could not see who is refused and for which bound. Metrics give the open connections, what they hold together, how many were closed for want of room and how many requests were refused before they were whole; a line each 10 s at most says how many were closed meanwhile.

--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -250,6 +250,20 @@
         .GaugeFor({"bilberryspool_evacuated_failure_domains",
                    "Failure domains whose targets get no requests"})
         .Set(static_cast<double>(state_.targets.evacuations().domains.size()));
+    state_.metrics.GaugeFor({"bilberryspool_connections", "Open connections"})
+        .Set(static_cast<double>(registry_->budget().size()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_connections_held_bytes",
+                   "What the connections hold together"})
+        .Set(static_cast<double>(registry_->budget().held_bytes()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_connections_evicted",
+                   "Connections closed for want of room since the start"})
+        .Set(static_cast<double>(registry_->evicted()));
+    state_.metrics
+        .GaugeFor({"bilberryspool_requests_not_read",
+                   "Requests refused before they were whole since the start"})
+        .Set(static_cast<double>(callers_.counts().bad_requests));
     net::HttpResponseHead head;
     head.headers.Add("Content-Type", "text/plain; version=0.0.4");
     exchange.Respond(std::move(head), state_.metrics.ToPrometheusText());
@@ -263,7 +277,20 @@
       loop_.SleepFor(kWindow);
       state_.metrics.StartWindows();
       state_.targets.limits().Tick(SteadyNow());
+      LogEvictions();
+    }
+  }
+
+  void LogEvictions() {
+    const std::uint64_t evicted = registry_->evicted();
+    if (evicted == logged_evictions_) {
+      return;
     }
+    log_.Warn("Closed connections that had no room.",
+              {{"closed", evicted - logged_evictions_},
+               {"open", registry_->budget().size()},
+               {"held_bytes", registry_->budget().held_bytes()}});
+    logged_evictions_ = evicted;
   }
 
   // Lets calls move to another target when theirs has become silent or slow,
@@ -360,6 +387,7 @@
   Stamp file_stamp_;
   bool is_draining_ = false;
   bool was_ready_ = false;
+  std::uint64_t logged_evictions_ = 0;
 };
 
 }  // namespace
