--- a/tests/auto/net/connection_budget_test.cc
+++ b/tests/auto/net/connection_budget_test.cc
@@ -2,8 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
 #include <vector>
 
+#include "libs/base/random.h"
+
 namespace bilberryspool::net {
 namespace {
 
@@ -74,5 +77,103 @@
   CHECK_FALSE(budget.FindExcess().has_value());
 }
 
+// Guards against a crowd of silent connections that keeps out all others.
+TEST_CASE("of too many connections one without an answer goes first") {
+  ConnectionBudgetOptions options;
+  options.max_connections = 2;
+  ConnectionBudget budget(options);
+  const ConnectionId answered = budget.Add(At(0));
+  budget.Enter(answered, ConnectionPhase::kHandling, At(1));
+  budget.Enter(answered, ConnectionPhase::kWaiting, At(2));
+  const ConnectionId silent = budget.Add(At(3));
+  CHECK_FALSE(budget.FindExcess().has_value());
+  const ConnectionId late = budget.Add(At(4));
+  CHECK(budget.FindExcess() == silent);
+  budget.Remove(silent);
+  budget.LimitConnections(1);
+  CHECK(budget.FindExcess() == late);
+  budget.Remove(late);
+  CHECK_FALSE(budget.FindExcess().has_value());
+}
+
+// Guards against long requests in progress that leave nothing to others.
+TEST_CASE("long requests in progress leave room for short ones") {
+  ConnectionBudget budget({8 * kLong});
+  int handled = 0;
+  for (int i = 0; i < 8; ++i) {
+    const ConnectionId id = AddReader(budget, kLong, At(i));
+    if (budget.MayHandle(id)) {
+      budget.Enter(id, ConnectionPhase::kHandling, At(i));
+      ++handled;
+    } else {
+      budget.Remove(id);
+    }
+  }
+  CHECK(handled == 5);
+  const ConnectionId small = AddReader(budget, 1000, At(9));
+  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK(budget.MayHandle(small));
+}
+
+TEST_CASE("the budget follows from the memory of the VM") {
+  struct Row {
+    double memory_mb;
+    std::size_t max_request_bytes;
+  };
+  const Row rows[] = {{64.0, 6'000'000},
+                      {112.0, 16'200'000},
+                      {160.0, 27'000'000},
+                      {260.0, 49'500'000}};
+  for (const Row& row : rows) {
+    CAPTURE(row.memory_mb);
+    const ConnectionBudget budget(BudgetForMemory(row.memory_mb));
+    CHECK(budget.max_request_bytes() == row.max_request_bytes);
+  }
+}
+
+// A crowd of any make: the sum holds, what is in progress is never closed, and
+// an ordinary request beside it is not the one.
+TEST_CASE("the sum holds whatever a crowd does") {
+  constexpr std::size_t kMax = 50 * kLong;
+  constexpr std::size_t kMaxConnections = 200;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    ConnectionBudget budget({kMax, kMaxConnections});
+    std::vector<ConnectionId> open;
+    std::set<ConnectionId> in_progress;
+    for (int step = 0; step < 2000; ++step) {
+      const TimePoint now = At(step);
+      const ConnectionId id = budget.Add(now);
+      open.push_back(id);
+      const ConnectionId grown = open[random.Below(open.size())];
+      if (!in_progress.contains(grown)) {
+        budget.Enter(grown, ConnectionPhase::kReading, now);
+        budget.Hold(grown, random.Below(4 * kLong));
+      }
+      while (const auto excess = budget.FindExcess()) {
+        REQUIRE_FALSE(in_progress.contains(*excess));
+        std::erase(open, *excess);
+        budget.Remove(*excess);
+      }
+      REQUIRE(budget.held_bytes() <= kMax);
+      REQUIRE(budget.size() <= kMaxConnections);
+      if (random.Below(10) == 0 && !open.empty()) {
+        const ConnectionId whole = open[random.Below(open.size())];
+        if (budget.MayHandle(whole)) {
+          budget.Enter(whole, ConnectionPhase::kHandling, now);
+          in_progress.insert(whole);
+        }
+      }
+      if (in_progress.size() > 20) {
+        const ConnectionId ended = *in_progress.begin();
+        in_progress.erase(ended);
+        std::erase(open, ended);
+        budget.Remove(ended);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
