The time limits of the configuration are not in force

Callers saw: nothing; a client could keep a head open for 20 s and an idle connection for 60 s, where the configuration allows 3 and 15 s.

Cause: gateways read header_timeout_ms and idle_timeout_ms and never used them.

Evidence: read in the code; no test of its own, since a test that waits for a time limit depends on the machine's speed.

Why this works: both are set with the limits in bytes by each configuration, for heads and idle periods that begin after that.

--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -121,7 +121,9 @@
 }
 
 void HttpServer::SetRequestLimits(std::size_t max_header_bytes,
-                                  std::size_t max_body_bytes) {
+                                  std::size_t max_body_bytes,
+                                  Duration header_timeout) {
+  d_->state->options.header_timeout = header_timeout;
   d_->state->options.max_header_bytes = max_header_bytes;
   d_->state->options.max_body_bytes = max_body_bytes;
 }
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -22,8 +22,9 @@
   Endpoint listen;
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 8UL * 1024 * 1024;
-  // Maximum time from the first byte of a request to its last, so that a slow
-  // sender can't occupy a connection forever.
+  // Maximum time from the first byte of a request to the end of its head, and
+  // to its last byte, so that a slow sender can't occupy a connection forever.
+  Duration header_timeout = Seconds(20);
   Duration request_timeout = Seconds(20);
   // A connection without a request is closed after this time.
   Duration idle_timeout = Seconds(60);
@@ -101,7 +102,8 @@
   // Sets the longest head and body, starting with the next request of each
   // connection.
   void SetRequestLimits(std::size_t max_header_bytes,
-                        std::size_t max_body_bytes);
+                        std::size_t max_body_bytes,
+                        Duration header_timeout);
 
   // Stops accepting and closes idle connections; requests in progress continue
   // and their connections close after the response.
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -35,6 +35,8 @@
   return {400, "malformed request\n"};
 }
 
+constexpr Duration kMinTimeout = Milliseconds(1);
+
 constexpr Rejection kOverloaded = {503, "not run; come back later\n"};
 
 // What the fields of a request hold: as they are here, as they are sent on, and
@@ -150,10 +152,13 @@
   parser.body_limit(
       std::min(state_->options.max_body_bytes,
                state_->options.registry->budget().max_request_bytes()));
-  stream_.expires_after(state_->options.request_timeout);
+  const TimePoint began = SteadyNow();
+  stream_.expires_after(state_->options.header_timeout);
   if (const auto failure = ReadHead()) {
     return failure;
   }
+  stream_.expires_after(std::max(
+      state_->options.request_timeout - (SteadyNow() - began), kMinTimeout));
   if (HasFoldedLine(TextOf(buffer_).substr(0, EndOfHead(TextOf(buffer_))))) {
     return Rejection{400, "folded header line\n"};
   }
--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -35,6 +35,7 @@
 constexpr Duration kSettingsPollInterval = Seconds(1);
 constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 constexpr std::size_t kMaxBodyBytes = 8UL * 1024 * 1024;
+constexpr Duration kHeaderTimeout = Seconds(20);
 constexpr Duration kIdleTimeout = Seconds(60);
 
 net::Endpoint ToEndpoint(const settings::SocketAddress& address) {
@@ -118,6 +119,7 @@
         OptionsFor(settings.callers_listen, std::move(registry));
     options.max_header_bytes = kMaxHeaderBytes;
     options.max_body_bytes = kMaxBodyBytes;
+    options.header_timeout = kHeaderTimeout;
     options.idle_timeout = kIdleTimeout;
     return options;
   }
@@ -150,7 +152,12 @@
   void ApplyBounds(const traffic::CallerBounds& bounds) {
     callers_.SetRequestLimits(
         bounds.max_header_bytes > 0 ? bounds.max_header_bytes : kMaxHeaderBytes,
-        bounds.max_body_bytes > 0 ? bounds.max_body_bytes : kMaxBodyBytes);
+        bounds.max_body_bytes > 0 ? bounds.max_body_bytes : kMaxBodyBytes,
+        bounds.header_timeout > Duration::zero() ? bounds.header_timeout
+                                                 : kHeaderTimeout);
+    callers_.SetIdleTimeout(bounds.idle_timeout > Duration::zero()
+                                ? bounds.idle_timeout
+                                : kIdleTimeout);
   }
 
   void ConnectQuarantine() {
