Answers that are not read have no bound on their sum

Cause: a gateway bounds the sum of answers over 64 KB; shorter ones were kept until their write timed out after 20 s, however many.

Evidence: connection_budget_test, "an answer that is not taken for long is given up for others".

Why this works: an answer counts in the budget while it is sent. Where there is no room, one that its client has not taken for 5 s is given up; streams are not. The budget is rounded, since 112 MB gave two bytes less than is written.

--- a/src/libs/net/connection_budget.cc
+++ b/src/libs/net/connection_budget.cc
@@ -1,6 +1,7 @@
 #include "libs/net/connection_budget.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bilberryspool::net {
@@ -14,8 +15,8 @@
   constexpr double kHeldPart = 0.6;
   constexpr double kBytesPerMb = 1e6;
   ConnectionBudgetOptions options;
-  options.max_bytes = static_cast<std::size_t>(
-      std::max((memory_mb - kOtherMb) * kHeldPart, kMinMb) * kBytesPerMb);
+  options.max_bytes = static_cast<std::size_t>(std::llround(
+      std::max((memory_mb - kOtherMb) * kHeldPart, kMinMb) * kBytesPerMb));
   return options;
 }
 
@@ -35,7 +36,7 @@
   }
   const Connection& connection = found->second;
   held_bytes_ -= connection.bytes;
-  if (connection.phase == ConnectionPhase::kHandling) {
+  if (IsInProgress(connection)) {
     handled_bytes_ -= connection.bytes;
   }
   connections_.erase(found);
@@ -49,14 +50,14 @@
     return;
   }
   Connection& connection = found->second;
-  if (connection.phase == ConnectionPhase::kHandling) {
+  if (IsInProgress(connection)) {
     handled_bytes_ -= connection.bytes;
   }
-  if (phase == ConnectionPhase::kHandling) {
+  connection.phase = phase;
+  if (IsInProgress(connection)) {
     handled_bytes_ += connection.bytes;
     connection.was_handled = true;
   }
-  connection.phase = phase;
   connection.since = now;
 }
 
@@ -69,27 +70,39 @@
   const std::size_t before = connection.bytes;
   connection.bytes = kConnectionBytes + bytes;
   held_bytes_ += connection.bytes - before;
-  if (connection.phase == ConnectionPhase::kHandling) {
+  if (IsInProgress(connection)) {
     handled_bytes_ += connection.bytes - before;
   }
 }
 
-std::optional<ConnectionId> ConnectionBudget::FindExcess() const {
+bool ConnectionBudget::MayClose(const Connection& connection, TimePoint now) {
+  return !IsInProgress(connection) ||
+         (connection.phase == ConnectionPhase::kSending &&
+          now - connection.since >= kMaxSending);
+}
+
+bool ConnectionBudget::IsInProgress(const Connection& connection) {
+  return connection.phase == ConnectionPhase::kHandling ||
+         connection.phase == ConnectionPhase::kSending;
+}
+
+std::optional<ConnectionId> ConnectionBudget::FindExcess(TimePoint now) const {
   if (connections_.size() > options_.max_connections) {
-    return FindSuperfluous();
+    return FindSuperfluous(now);
   }
   if (held_bytes_ > options_.max_bytes) {
-    return FindLong();
+    return FindLong(now);
   }
   return std::nullopt;
 }
 
-std::optional<ConnectionId> ConnectionBudget::FindSuperfluous() const {
+std::optional<ConnectionId> ConnectionBudget::FindSuperfluous(
+    TimePoint now) const {
   std::optional<ConnectionId> excess;
   std::pair<bool, TimePoint> rank;
   for (const auto& [id, connection] : connections_) {
     const std::pair candidate(connection.was_handled, connection.since);
-    if (connection.phase == ConnectionPhase::kHandling ||
+    if (!MayClose(connection, now) ||
         (excess.has_value() && candidate >= rank)) {
       continue;
     }
@@ -99,11 +112,11 @@
   return excess;
 }
 
-std::optional<ConnectionId> ConnectionBudget::FindLong() const {
+std::optional<ConnectionId> ConnectionBudget::FindLong(TimePoint now) const {
   std::size_t bytes = 0;
   std::size_t count = 0;
   for (const auto& [id, connection] : connections_) {
-    if (connection.phase == ConnectionPhase::kHandling) {
+    if (!MayClose(connection, now)) {
       continue;
     }
     bytes += connection.bytes;
@@ -112,8 +125,7 @@
   std::optional<ConnectionId> excess;
   TimePoint since;
   for (const auto& [id, connection] : connections_) {
-    if (connection.phase == ConnectionPhase::kHandling ||
-        connection.bytes * count < bytes) {
+    if (!MayClose(connection, now) || connection.bytes * count < bytes) {
       continue;
     }
     if (!excess.has_value() || connection.since < since) {
--- a/src/libs/net/connection_budget.h
+++ b/src/libs/net/connection_budget.h
@@ -24,6 +24,7 @@
   kWaiting,   // for the first byte of a request
   kReading,   // a request that is not whole
   kHandling,  // a request that is whole; never closed by the budget
+  kSending,   // a whole answer
 };
 
 struct ConnectionBudgetOptions {
@@ -41,6 +42,9 @@
   // Stack, socket and buffers of a connection that holds nothing else.
   static constexpr std::size_t kConnectionBytes = 24UL * 1024;
 
+  // A client that has not taken its answer for so long may be closed.
+  static constexpr Duration kMaxSending = Seconds(5);
+
   explicit ConnectionBudget(ConnectionBudgetOptions options)
       : options_(options) {}
 
@@ -57,7 +61,7 @@
   // the one that has waited longest for its client: an ordinary request is
   // whole soon after its first byte, and small.
   // Where there are too many, one that has had no answer yet.
-  std::optional<ConnectionId> FindExcess() const;
+  std::optional<ConnectionId> FindExcess(TimePoint now) const;
 
   // Whether the request of the connection may be handled. Long requests leave
   // a part of the bytes to short ones, also where no target answers for long.
@@ -79,15 +83,17 @@
     bool was_handled = false;
   };
 
-  std::optional<ConnectionId> FindSuperfluous() const;
-  std::optional<ConnectionId> FindLong() const;
+  static bool MayClose(const Connection& connection, TimePoint now);
+  static bool IsInProgress(const Connection& connection);
+  std::optional<ConnectionId> FindSuperfluous(TimePoint now) const;
+  std::optional<ConnectionId> FindLong(TimePoint now) const;
   std::size_t max_long_bytes() const;
 
   ConnectionBudgetOptions options_;
   std::map<ConnectionId, Connection> connections_;
   ConnectionId last_id_;
   std::size_t held_bytes_ = 0;
-  // The part of it whose connections are in kHandling.
+  // The part of it of requests in progress, answers included.
   std::size_t handled_bytes_ = 0;
 };
 
--- a/src/libs/net/connection_registry.cc
+++ b/src/libs/net/connection_registry.cc
@@ -8,7 +8,7 @@
 ConnectionId ConnectionRegistry::Add(Evict evict, TimePoint now) {
   const ConnectionId id = budget_.Add(now);
   evictions_.emplace(id, std::move(evict));
-  EvictExcess();
+  EvictExcess(now);
   return id;
 }
 
@@ -23,20 +23,22 @@
   budget_.Enter(id, phase, now);
 }
 
-void ConnectionRegistry::Hold(ConnectionId id, std::size_t bytes) {
+void ConnectionRegistry::Hold(ConnectionId id,
+                              std::size_t bytes,
+                              TimePoint now) {
   budget_.Hold(id, bytes);
-  EvictExcess();
+  EvictExcess(now);
 }
 
-void ConnectionRegistry::ReserveDescriptors() {
+void ConnectionRegistry::ReserveDescriptors(TimePoint now) {
   constexpr std::size_t kMinConnections = 16;
   const std::size_t open = budget_.size();
   budget_.LimitConnections(std::max(open - open / 4, kMinConnections));
-  EvictExcess();
+  EvictExcess(now);
 }
 
-void ConnectionRegistry::EvictExcess() {
-  while (const auto excess = budget_.FindExcess()) {
+void ConnectionRegistry::EvictExcess(TimePoint now) {
+  while (const auto excess = budget_.FindExcess(now)) {
     const auto found = evictions_.find(*excess);
     const Evict evict = std::move(found->second);
     Remove(*excess);
--- a/src/libs/net/connection_registry.h
+++ b/src/libs/net/connection_registry.h
@@ -26,17 +26,17 @@
   void Enter(ConnectionId id, ConnectionPhase phase, TimePoint now);
   // Sets what the connection holds, then evicts connections, this one perhaps,
   // until all fit.
-  void Hold(ConnectionId id, std::size_t bytes);
+  void Hold(ConnectionId id, std::size_t bytes, TimePoint now);
   // Called where the process has no descriptor left: from now on a quarter of
   // those that connections have now is left to calls to other processes.
-  void ReserveDescriptors();
+  void ReserveDescriptors(TimePoint now);
 
   const ConnectionBudget& budget() const { return budget_; }
   // Connections evicted so far.
   std::uint64_t evicted() const { return evicted_; }
 
  private:
-  void EvictExcess();
+  void EvictExcess(TimePoint now);
 
   ConnectionBudget budget_;
   std::map<ConnectionId, Evict> evictions_;
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -7,6 +7,7 @@
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/server_connection.h"
 #include "libs/net/network_loop.h"
+#include "libs/net/steady_time.h"
 
 namespace bilberryspool::net {
 
@@ -83,7 +84,7 @@
       const bool is_out_of_descriptors =
           outcome.error == boost::asio::error::no_descriptors;
       if (is_out_of_descriptors) {
-        state->options.registry->ReserveDescriptors();
+        state->options.registry->ReserveDescriptors(SteadyNow());
       }
       // Pause to avoid a busy loop; evicted connections close meanwhile.
       constexpr Duration kPause = Milliseconds(50);
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -99,8 +99,8 @@
   // Sets how long a connection may be idle, starting with its next idle period.
   void SetIdleTimeout(Duration timeout);
 
-  // Sets the longest head and body, starting with the next request of each
-  // connection.
+  // Sets the longest head and body and the time for the head, starting with the
+  // next request of each connection.
   void SetRequestLimits(std::size_t max_header_bytes,
                         std::size_t max_body_bytes,
                         Duration header_timeout);
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -293,7 +293,8 @@
 
 void ServerConnection::UpdateHeldBytes() {
   if (!is_evicted_) {
-    state_->options.registry->Hold(id_, buffer_.capacity() + request_bytes_);
+    state_->options.registry->Hold(id_, buffer_.capacity() + request_bytes_,
+                                   SteadyNow());
   }
 }
 
@@ -303,6 +304,15 @@
   stream_.cancel();
 }
 
+void ServerConnection::HoldAnswer(std::size_t bytes) {
+  if (bytes > 0) {
+    state_->options.registry->Enter(id_, ConnectionPhase::kSending,
+                                    SteadyNow());
+    request_bytes_ += bytes;
+    UpdateHeldBytes();
+  }
+}
+
 void ServerConnection::Reject(const Rejection& rejection) {
   ++state_->counts.bad_requests;
   keep_alive_ = false;
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -74,6 +74,8 @@
   bool WaitForFirstByte();
   // Returns whether the connection stays open for another request.
   bool HandleRequest(HttpRequest request);
+  // A whole answer is about to be sent.
+  void HoldAnswer(std::size_t bytes);
   // Tells the registry what the connection holds.
   void UpdateHeldBytes();
   void Evict();
--- a/src/libs/net/internal/server_exchange.cc
+++ b/src/libs/net/internal/server_exchange.cc
@@ -60,6 +60,7 @@
   response.body() = {is_head ? nullptr : body.data(),
                      is_head ? 0 : body.size()};
   response.content_length(body.size());
+  connection_.HoldAnswer(body.size());
   connection_.stream_.expires_after(connection_.state_->options.write_timeout);
   const IoOutcome outcome = Await([&](auto handler) {
     http::async_write(connection_.stream_, response, handler);
--- a/tests/auto/net/connection_budget_test.cc
+++ b/tests/auto/net/connection_budget_test.cc
@@ -31,7 +31,7 @@
   AddReader(budget, kLong, At(0));
   budget.Add(At(1));
   budget.Add(At(2));
-  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK_FALSE(budget.FindExcess(At(10)).has_value());
 }
 
 // Guards against a crowd of long requests that costs ordinary callers theirs.
@@ -44,7 +44,7 @@
     crowd.push_back(AddReader(budget, kLong, At(i)));
   }
   std::vector<ConnectionId> closed;
-  while (const auto excess = budget.FindExcess()) {
+  while (const auto excess = budget.FindExcess(At(10))) {
     closed.push_back(*excess);
     budget.Remove(*excess);
   }
@@ -63,7 +63,7 @@
   budget.Enter(first, ConnectionPhase::kHandling, At(3));
   budget.Enter(first, ConnectionPhase::kWaiting, At(4));
   budget.Add(At(5));
-  CHECK(budget.FindExcess() == second);
+  CHECK(budget.FindExcess(At(10)) == second);
 }
 
 // Guards against answers that are cut for the sake of a crowd.
@@ -72,9 +72,9 @@
   const ConnectionId running = AddReader(budget, kLong, At(0));
   budget.Enter(running, ConnectionPhase::kHandling, At(1));
   const ConnectionId reading = AddReader(budget, 1, At(2));
-  CHECK(budget.FindExcess() == reading);
+  CHECK(budget.FindExcess(At(10)) == reading);
   budget.Remove(reading);
-  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK_FALSE(budget.FindExcess(At(10)).has_value());
 }
 
 // Guards against a crowd of silent connections that keeps out all others.
@@ -86,14 +86,25 @@
   budget.Enter(answered, ConnectionPhase::kHandling, At(1));
   budget.Enter(answered, ConnectionPhase::kWaiting, At(2));
   const ConnectionId silent = budget.Add(At(3));
-  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK_FALSE(budget.FindExcess(At(10)).has_value());
   const ConnectionId late = budget.Add(At(4));
-  CHECK(budget.FindExcess() == silent);
+  CHECK(budget.FindExcess(At(10)) == silent);
   budget.Remove(silent);
   budget.LimitConnections(1);
-  CHECK(budget.FindExcess() == late);
+  CHECK(budget.FindExcess(At(10)) == late);
   budget.Remove(late);
-  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK_FALSE(budget.FindExcess(At(10)).has_value());
+}
+
+// Guards against clients that never read their answers.
+TEST_CASE("an answer that is not taken for long is given up for others") {
+  ConnectionBudget budget({2 * kConnection});
+  const ConnectionId sending = AddReader(budget, 0, At(0));
+  budget.Enter(sending, ConnectionPhase::kHandling, At(1));
+  budget.Enter(sending, ConnectionPhase::kSending, At(2));
+  budget.Hold(sending, kLong);
+  CHECK_FALSE(budget.FindExcess(At(6)).has_value());
+  CHECK(budget.FindExcess(At(7)) == sending);
 }
 
 // Guards against long requests in progress that leave nothing to others.
@@ -111,7 +122,7 @@
   }
   CHECK(handled == 5);
   const ConnectionId small = AddReader(budget, 1000, At(9));
-  CHECK_FALSE(budget.FindExcess().has_value());
+  CHECK_FALSE(budget.FindExcess(At(10)).has_value());
   CHECK(budget.MayHandle(small));
 }
 
@@ -151,7 +162,7 @@
         budget.Enter(grown, ConnectionPhase::kReading, now);
         budget.Hold(grown, random.Below(4 * kLong));
       }
-      while (const auto excess = budget.FindExcess()) {
+      while (const auto excess = budget.FindExcess(now)) {
         REQUIRE_FALSE(in_progress.contains(*excess));
         std::erase(open, *excess);
         budget.Remove(*excess);
