--- a/tests/processes/platform/crowd.py
+++ b/tests/processes/platform/crowd.py
@@ -1,6 +1,7 @@
 """Opens many connections to one port that break HTTP's limits, and keeps them.
 
 crowd.py PORT SHAPE COUNT BYTES [CHUNK] [--path=P] [--back] [--address=A]
+         [--seed=N]
 
 Each connection sends its BYTES, a little at a time and all connections in turn,
 and then stays open. Prints "stalled" once none can send any more: all have sent
@@ -8,6 +9,7 @@
 closed is opened anew. Ends when it is killed.
 """
 import itertools
+import random
 import selectors
 import socket
 import sys
@@ -20,6 +22,9 @@
 chunk = int(arguments[4]) if len(arguments) > 4 else 65536
 PIECE = 65536
 QUIET_S = 4.0
+SHAPES = ["silent", "head", "short_fields", "trailers", "extension", "chunks", "announced",
+          "nearly", "whole"]
+chance = random.Random(int(flags.get("seed", 1)))
 numbers = itertools.count()
 
 
@@ -38,6 +43,22 @@
 
 
 def request():
+    if shape == "mixed":
+        return mixed()
+    return make_request(shape)
+
+
+def mixed():
+    """One of all shapes, of any size up to BYTES, cut off anywhere."""
+    global total, chunk
+    most, total, chunk = total, chance.randint(1, total), chance.choice([1, 2, 16, 999, 65536])
+    total = min(total, 4000 * chunk)
+    pieces = list(make_request(chance.choice(SHAPES)))
+    total = most
+    return iter(pieces[:chance.randint(1, 2 * len(pieces) + 1)])
+
+
+def make_request(shape):
     chunked = head("Transfer-Encoding: chunked\r\n\r\n")
     if shape == "silent":
         return iter(())
--- a/tests/processes/platform/crowd_other_ports_test.sh
+++ b/tests/processes/platform/crowd_other_ports_test.sh
@@ -4,24 +4,10 @@
 . "$(dirname "$0")/crowds.sh"
 
 start_served_platform
-cat > "$RUN/sidecar.toml" << T
-role = "sidecar"
-deployment = "test-$$"
-node = "sidecar"
-failure_domain = "z1"
-key_file = "$RUN/link.key"
-log.file = "-"
-peers.listen = "127.0.0.9:${P}90"
-engine.address = "127.0.0.9:${P}70"
-T
-start sidecar "$BIN/bilberryspool" sidecar --settings="$RUN/sidecar.toml"
+start_sidecar
 try_port() { # PROCESS BOUND_KB ADDRESS PORT
-  start_crowd "$4" nearly 60 8000000 --address="$3"
-  expect_within "$1" "$2" "bodies at $3:$4"
-  end_crowd
-  start_crowd "$4" trailers 10 32000000 --address="$3"
-  expect_within "$1" "$2" "trailers at $3:$4"
-  end_crowd
+  try_crowd "$@" nearly 60 8000000
+  try_crowd "$@" trailers 10 32000000
 }
 try_port sidecar "$SIDECAR_KB" 127.0.0.9 "${P}90"
 try_port gateway-1 "$GATEWAY_KB" 127.0.0.1 "${P}51"
--- a/tests/processes/platform/crowds.sh
+++ b/tests/processes/platform/crowds.sh
@@ -33,6 +33,26 @@
   wait_until "a request is served after the crowd $*" is_served 1
   expect_within gateway-1 "$GATEWAY_KB" "after the crowd $*"
 }
+try_crowd() { # PROCESS BOUND_KB ADDRESS PORT SHAPE COUNT BYTES [FLAGS...]
+  local process="$1" bound="$2" address="$3" port="$4"
+  shift 4
+  start_crowd "$port" "$@" --address="$address"
+  expect_within "$process" "$bound" "the crowd $* at $address:$port"
+  end_crowd
+}
+start_sidecar() {
+  cat > "$RUN/sidecar.toml" << T
+role = "sidecar"
+deployment = "test-$$"
+node = "sidecar"
+failure_domain = "z1"
+key_file = "$RUN/link.key"
+log.file = "-"
+peers.listen = "127.0.0.9:${P}90"
+engine.address = "127.0.0.9:${P}70"
+T
+  start sidecar "$BIN/bilberryspool" sidecar --settings="$RUN/sidecar.toml"
+}
 start_served_platform() {
   start_platform
   start_targets targets "${P}70" "$@"
