Entries have the time limit for heads that their settings give

Caller saw nothing: found while reading the change. The time for a head is never longer than that for the whole request.

--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -153,7 +153,8 @@
       std::min(state_->options.max_body_bytes,
                state_->options.registry->budget().max_request_bytes()));
   const TimePoint began = SteadyNow();
-  stream_.expires_after(state_->options.header_timeout);
+  stream_.expires_after(std::min(state_->options.header_timeout,
+                                 state_->options.request_timeout));
   if (const auto failure = ReadHead()) {
     return failure;
   }
