--- a/src/libs/net/connection_budget.h
+++ b/src/libs/net/connection_budget.h
@@ -23,8 +23,8 @@
 enum class ConnectionPhase {
   kWaiting,   // for the first byte of a request
   kReading,   // a request that is not whole
-  kHandling,  // a request that is whole; never closed by the budget
-  kSending,   // a whole answer
+  kHandling,  // a request that is whole, or a stream; never closed
+  kSending,   // a whole answer; closed after kMaxSending only
 };
 
 struct ConnectionBudgetOptions {
@@ -51,7 +51,6 @@
   // A new connection, which waits.
   ConnectionId Add(TimePoint now);
   void Remove(ConnectionId id);
-  // Must not be called with the phase that the connection is in.
   void Enter(ConnectionId id, ConnectionPhase phase, TimePoint now);
   // Sets what the connection holds besides kConnectionBytes.
   void Hold(ConnectionId id, std::size_t bytes);
@@ -59,8 +58,8 @@
   // The connection to close next; nothing if all fit, or if each one that is
   // left has a request in progress. Of those that hold no less than the mean,
   // the one that has waited longest for its client: an ordinary request is
-  // whole soon after its first byte, and small.
-  // Where there are too many, one that has had no answer yet.
+  // whole soon after its first byte, and small. Where there are too many
+  // connections, one that has had no answer yet.
   std::optional<ConnectionId> FindExcess(TimePoint now) const;
 
   // Whether the request of the connection may be handled. Long requests leave
