Processes don't start where a platform doesn't know a field of a template

Callers saw: nobody served; a platform that fills in templates without knowing limits.memory_mb leaves the placeholder, and the settings are refused.

Cause: a number that a template leaves empty has its default, one that it leaves as it is was an error.

Why this works: both mean that there is no value.

--- a/src/libs/settings/load.cc
+++ b/src/libs/settings/load.cc
@@ -154,10 +154,11 @@
                        });
   }
 
-  // A template that has no value for a number leaves its text empty.
+  // Where there is no value for a number, its text in a template is left empty,
+  // or as it is by a platform that doesn't know the field.
   static bool IsNumberLeftEmpty(const KeySpec& spec, const RawValue& raw) {
     const auto* text = std::get_if<std::string>(&raw.value);
-    return text != nullptr && text->empty() &&
+    return text != nullptr && (text->empty() || text->starts_with("{{")) &&
            std::holds_alternative<NumberKind>(spec.kind) &&
            std::holds_alternative<DefaultValue>(spec.presence);
   }
--- a/tests/auto/settings/parse_test.cc
+++ b/tests/auto/settings/parse_test.cc
@@ -68,6 +68,22 @@
         GroupPlace{GroupId("drafter-ranks"), RankIndex(0)});
 }
 
+// Guards against processes that don't start where a platform doesn't know a
+// field of their template.
+TEST_CASE("a number that a template leaves open has its default") {
+  for (const char* text : {"", "{{limits.memory_mb}}"}) {
+    CAPTURE(text);
+    const std::string line =
+        "port = 7300\n[limits]\nmemory_mb = \"" + std::string(text) + "\"";
+    const auto parsed =
+        Parse(Change("gateway.toml", "port = ", line), "sample.toml");
+    const auto* settings = std::get_if<Settings>(&parsed);
+    REQUIRE(settings != nullptr);
+    const auto& gateway = std::get<GatewaySettings>(settings->role);
+    CHECK(gateway.memory_mb == 112.0);
+  }
+}
+
 TEST_CASE("a gateway without a port of sidecars is accepted") {
   struct Row {
     const char* line;  // replaces the port
