Answers with an invalid status reach callers

Callers saw: an answer of status 000 (or 001, 099, 600, 999) as the target sent it, with its digest and its body; a 101 that nobody had asked for, with an empty body.

Cause: the parser takes any three digits for a status, and nothing checked them afterwards. A status that is neither a success nor a server error is passed on by the gateway.

Why this works: all answers of targets, engines, agents, sidecars and control nodes are read by ClientConnection. An invalid status is an error there, like any other bytes that are no HTTP: the request may have run, so that it is sent again only if it may be repeated, and no 503 is given for it.

--- a/src/libs/net/http_status.h
+++ b/src/libs/net/http_status.h
@@ -5,6 +5,7 @@
 
 namespace bilberryspool::net::status {
 
+inline constexpr int kSwitchingProtocols = 101;
 inline constexpr int kOk = 200;
 inline constexpr int kAccepted = 202;
 inline constexpr int kFirstRedirect = 300;
@@ -22,6 +23,13 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+// Parsers accept any three digits (RFC 9110, section 15).
+constexpr bool IsValid(int code) {
+  constexpr int kFirst = 100;
+  constexpr int kEnd = 600;
+  return code >= kFirst && code < kEnd;
+}
+
 constexpr bool IsSuccess(int code) {
   return code >= kOk && code < kFirstRedirect;
 }
--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
 
@@ -95,6 +96,13 @@
     if (read.error) {
       return Fail(read.error);
     }
+    const int status = static_cast<int>(parser_->get().result_int());
+    if (!status::IsValid(status) || status == status::kSwitchingProtocols) {
+      is_broken_ = true;
+      return HttpError{
+          HttpErrorKind::kProtocol,
+          "status " + std::to_string(status) + " is no answer to the request"};
+    }
     const bool is_interim =
         parser_->get().result() == http::status::processing ||
         parser_->get().result() == http::status::continue_;
--- /dev/null
+++ b/tests/auto/net/broken_answer_test.cc
@@ -0,0 +1,83 @@
+// Bytes that are no answer in the protocol, and answers that are cut off.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <thread>
+
+#include "libs/net/http_client.h"
+#include "libs/net/network_loop.h"
+
+namespace bilberryspool::net {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Sends `bytes` in answer to one request and closes.
+class OneAnswerServer {
+ public:
+  explicit OneAnswerServer(std::string bytes) : bytes_(std::move(bytes)) {
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~OneAnswerServer() { thread_.join(); }
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  void Serve() {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket);
+    boost::system::error_code error;
+    boost::asio::streambuf request;
+    boost::asio::read_until(socket, request, "\r\n\r\n", error);
+    boost::asio::write(socket, boost::asio::buffer(bytes_), error);
+    socket.shutdown(tcp::socket::shutdown_send, error);
+  }
+
+  std::string bytes_;
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_{
+      io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+  std::thread thread_;
+};
+
+HttpClient::SendResult SendTo(const std::string& answer) {
+  OneAnswerServer server(answer);
+  NetworkLoop loop;
+  std::optional<HttpClient::SendResult> result;
+  loop.Run([&] {
+    HttpClient client(loop, {});
+    constexpr Duration kTimeout = Seconds(20);
+    result = client.Send(server.endpoint(), HttpRequest{}, kTimeout);
+    CHECK(client.idle_connections() <=
+          (std::holds_alternative<HttpResponse>(*result) ? 1 : 0));
+  });
+  return *std::move(result);
+}
+
+bool IsProtocolError(const HttpClient::SendResult& result) {
+  const auto* error = std::get_if<HttpError>(&result);
+  return error != nullptr && error->kind == HttpErrorKind::kProtocol;
+}
+
+const std::string kFields = "Server: a\r\nContent-Length: 2\r\n\r\nok";
+
+// Guards against answers whose status is no status of HTTP being passed on.
+TEST_CASE("an answer with an invalid status is a protocol error") {
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "2000", "20", "2x0", "-20"}) {
+    CAPTURE(status);
+    const auto result = SendTo("HTTP/1.1 " + status + " OK\r\n" + kFields);
+    CHECK(IsProtocolError(result));
+  }
+}
+
+}  // namespace
+}  // namespace bilberryspool::net
--- /dev/null
+++ b/tests/processes/platform/broken_answers.py
@@ -0,0 +1,67 @@
+"""Asks a gateway for answers that targets break; see raw_target.py.
+
+broken_answers.py PORT
+
+Fails if the gateway passes on such an answer, or anything of it, or gives no
+answer of its own.
+"""
+import itertools
+import socket
+import sys
+import time
+
+port = int(sys.argv[1])
+numbers = itertools.count()
+LIMIT_S = 20
+OK, BODY = "HTTP/1.1 200 OK\r\n(seal)", "the target's body"
+LENGTH = f"Content-Length: {len(BODY)}\r\n"
+
+
+def broken_answers():
+    for status in ("000", "001", "099", "101", "600", "999"):
+        yield f"HTTP/1.1 {status} OK\r\n(seal){LENGTH}\r\n{BODY}"
+
+
+def ask(path, body):
+    """Returns the status, the fields and the body of the gateway's answer."""
+    head = (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\nConnection: close\r\n"
+            f"Bilberryspool-Attempt-Id: broken-{next(numbers)}\r\n"
+            f"Bilberryspool-Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\n\r\n")
+    with socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S) as connection:
+        connection.sendall(head.encode() + body)
+        answer = b""
+        while piece := connection.recv(65536):
+            answer += piece
+    head, end, body = answer.decode("latin-1").partition("\r\n\r\n")
+    assert end, f"no answer, or one that is not whole: {answer!r}"
+    status_line, *lines = head.split("\r\n")
+    fields = dict(line.split(": ", 1) for line in lines)
+    return status_line.split(" ")[1], fields, body
+
+
+def ask_target(path, body):
+    """Asks again while all targets are in cooldown after a failure."""
+    end = time.monotonic() + LIMIT_S
+    while time.monotonic() < end:
+        answer = ask(path, body)
+        if answer[0] != "503":
+            return answer
+        time.sleep(0.05)
+    sys.exit("no target is asked any more")
+
+
+faults = 0
+count = 0
+for text in broken_answers():
+    for path in ("/a/x", "/again/x", "/stream/x"):
+        status, fields, body = ask_target(path, text.encode("latin-1"))
+        is_sound = (status == "502" and "Bilberryspool-Response-Seal" not in fields
+                    and len(body) == int(fields["Content-Length"]) and BODY[:-1] not in body)
+        count += 1
+        if not is_sound:
+            faults += 1
+            print(f"{path}: {text!r} was answered {status} {fields} {body!r}")
+        while ask("/a/x", b"order")[0] != "200":
+            time.sleep(0.05)
+print(f"{faults} of {count} broken answers were passed on")
+sys.exit(faults > 0)
--- a/tests/processes/platform/deployment_on_platform.sh
+++ b/tests/processes/platform/deployment_on_platform.sh
@@ -80,6 +80,11 @@
   shift 2
   start "$name" "$BIN/platform_standin" --listen=127.0.0.9 --first_port="$port" "$SEEDS_OF_TARGETS" "$@"
 }
+# Targets that answer with what the request says; see raw_target.py.
+start_raw_targets() { # COUNT
+  start raw python3 "$(dirname "${BASH_SOURCE[0]}")/raw_target.py" 127.0.0.9 "${P}70" "$1" \
+    "${SEEDS_OF_TARGETS#--control=}"
+}
 start_platform() {
   local i
   for i in $CONTROLS; do start_control "$i"; done
--- /dev/null
+++ b/tests/processes/platform/raw_target.py
@@ -0,0 +1,92 @@
+"""Targets of the users' platform that answer with any bytes.
+
+raw_target.py ADDRESS FIRST_PORT COUNT CONTROL[,CONTROL...]
+
+Announces COUNT targets at the control nodes (IP:PORT). A request whose body
+begins with "HTTP/" is answered with that body as it is, and then the connection
+is closed. With the path /.../endless, or /.../dripping, the last 64 bytes of the
+body follow again and again, as fast as they are read or 16 KB every 200 ms,
+until the caller closes. With /.../slow a sound answer comes after 20 s. All others get
+a sound answer.
+"""
+import json
+import socket
+import sys
+import threading
+import time
+import urllib.request
+
+address, first_port, count = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+controls = sys.argv[4].split(",")
+SEAL = "Bilberryspool-Response-Seal: seal-of-raw\r\n"
+ENDLESS = ("/endless", "/dripping")
+
+
+def announce():
+    for sequence in range(1, 1 << 30):
+        for n in range(count):
+            body = {"service": "model", "address": f"{address}:{first_port + n}", "zone": "z1",
+                    "slots": 512, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence}
+            for control in controls:
+                call = urllib.request.Request(f"http://{control}/instances/raw-{n}", method="PUT",
+                                              data=json.dumps(body).encode())
+                try:
+                    urllib.request.urlopen(call, timeout=1).close()
+                    break
+                except OSError:
+                    continue
+        time.sleep(0.3)
+
+
+def read_request(connection):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+    while len(body) < int(fields.get("content-length", 0)):
+        body += connection.recv(65536)
+    return lines[0].split(" ")[1], fields.get("bilberryspool-attempt-id", ""), body
+
+
+def serve(connection):
+    with connection:
+        request = read_request(connection)
+        if request is None:
+            return
+        path, attempt, body = request
+        if path.endswith(ENDLESS):
+            is_dripping = path.endswith(ENDLESS[1])
+            connection.sendall(body.replace(b"(seal)", SEAL.encode()))
+            while True:
+                connection.sendall(body[-64:] * (256 if is_dripping else 1024))
+                time.sleep(0.2 if is_dripping else 0)
+        if path.endswith("/slow"):
+            print("run", attempt, flush=True)
+            time.sleep(20)
+        if not body.startswith(b"HTTP/"):
+            body = (f"HTTP/1.1 200 OK\r\n{SEAL}Bilberryspool-Attempt-Id: {attempt}\r\n"
+                    "Content-Length: 5\r\n\r\nsound").encode()
+        connection.sendall(body.replace(b"(seal)", SEAL.encode()))
+
+
+def serve_quietly(connection):
+    try:
+        serve(connection)
+    except OSError:
+        pass
+
+
+def listen(port):
+    with socket.create_server((address, port), backlog=512) as server:
+        while True:
+            threading.Thread(target=serve_quietly, args=(server.accept()[0],), daemon=True).start()
+
+
+for n in range(count):
+    threading.Thread(target=listen, args=(first_port + n,), daemon=True).start()
+announce()
