Interim answers are taken for the answer

Callers saw: "103 Early Hints" of a target as their answer, with an empty body, in place of the 200 that followed it.

Cause: only 100 and 102 counted as interim; any other 1xx was the answer.

Evidence: on net_test, "interim answers precede the answer", got 103 and 199 where 200 was sent, and broken_answers_test got 103 from the gateway.

Why this works: RFC 9110, section 15.2: each 1xx but 101, which only answers an Upgrade, is followed by another answer. The bound on their number is as it was.

--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -60,8 +60,8 @@
  public:
   using OpenResult = std::variant<std::unique_ptr<HttpClientStream>, HttpError>;
   using SendResult = std::variant<HttpResponse, HttpError>;
-  // Called for each interim "102 Processing"; the peer is still working on the
-  // request.
+  // Called for each interim response, such as "102 Processing"; the peer is
+  // still working on the request.
   using OnProcessing = std::function<void()>;
 
   HttpClient(NetworkLoop& loop, HttpClientOptions options);
--- a/src/libs/net/http_status.h
+++ b/src/libs/net/http_status.h
@@ -30,6 +30,11 @@
   return code >= kFirst && code < kEnd;
 }
 
+// Another answer follows (RFC 9110, section 15.2).
+constexpr bool IsInterim(int code) {
+  return IsValid(code) && code < kOk;
+}
+
 constexpr bool IsSuccess(int code) {
   return code >= kOk && code < kFirstRedirect;
 }
--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -103,10 +103,7 @@
           HttpErrorKind::kProtocol,
           "status " + std::to_string(status) + " is no answer to the request"};
     }
-    const bool is_interim =
-        parser_->get().result() == http::status::processing ||
-        parser_->get().result() == http::status::continue_;
-    if (!is_interim) {
+    if (!status::IsInterim(status)) {
       return std::nullopt;
     }
     if (on_processing) {
--- a/tests/auto/net/broken_answer_test.cc
+++ b/tests/auto/net/broken_answer_test.cc
@@ -79,5 +79,19 @@
   }
 }
 
+// Guards against interim answers being taken for the answer.
+TEST_CASE("interim answers precede the answer") {
+  for (const std::string status : {"100", "102", "103", "199"}) {
+    CAPTURE(status);
+    const auto result =
+        SendTo("HTTP/1.1 " + status + " Interim\r\nA: b\r\n\r\n" +
+               "HTTP/1.1 200 OK\r\n" + kFields);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    REQUIRE(response != nullptr);
+    CHECK(response->head.status == 200);
+    CHECK(response->body == "ok");
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
--- a/tests/processes/platform/broken_answers.py
+++ b/tests/processes/platform/broken_answers.py
@@ -63,5 +63,9 @@
             print(f"{path}: {text!r} was answered {status} {fields} {body!r}")
         while ask("/a/x", b"order")[0] != "200":
             time.sleep(0.05)
+for status in ("100", "102", "103"):
+    text = f"HTTP/1.1 {status} Interim\r\nA: b\r\n\r\n{OK}{LENGTH}\r\n{BODY}"
+    status, fields, body = ask_target("/a/x", text.encode())
+    assert (status, body) == ("200", BODY), f"{text!r} was answered {status} {body!r}"
 print(f"{faults} of {count} broken answers were passed on")
 sys.exit(faults > 0)
