Answers with a folded header line reach callers, with another body

Callers saw: for an answer with a blank or a tab before the name of a field, " Content-Length: 17" behind the digest, a digest of "seal-of-raw Content-Length: 17" and all bytes up to the end of the connection as the body; with " Transfer-Encoding: chunked", the sizes of the chunks as part of the body; with any other name, that line within the value before it.

Cause: the parser joins a line that begins with a blank to the previous value (obs-fold), so that the length or the coding on that line is lost. Requests with such a line are refused since long, answers were not checked.

All other blanks and control bytes in names were refused already: between, before and after the letters, before the colon, NUL, CR, LF, DEL and bytes above 127.

Why this works: the bytes of a head are checked as the parser takes them, by the function that checks requests; RFC 9112, section 5.2 leaves a gateway the choice to discard such an answer. The limits of a head stay those of the parser.

--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -5,11 +5,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
+#include "libs/net/internal/head_text.h"
 
 namespace bilberryspool::net::internal {
 
@@ -31,6 +33,11 @@
   return failure;
 }
 
+HttpError ClientConnection::FailProtocol(std::string reason) {
+  is_broken_ = true;
+  return {HttpErrorKind::kProtocol, std::move(reason)};
+}
+
 std::optional<HttpError> ClientConnection::Connect(const Endpoint& endpoint,
                                                    Duration timeout) {
   boost::system::error_code error;
@@ -90,18 +97,13 @@
         static_cast<std::uint32_t>(options_.max_header_bytes));
     parser_->body_limit(options_.max_body_bytes);
     stream_.expires_after(timeout);
-    const IoOutcome read = Await([&](auto handler) {
-      http::async_read_header(stream_, buffer_, *parser_, handler);
-    });
-    if (read.error) {
-      return Fail(read.error);
+    if (auto error = ReadOneHead()) {
+      return error;
     }
     const int status = static_cast<int>(parser_->get().result_int());
     if (!status::IsValid(status) || status == status::kSwitchingProtocols) {
-      is_broken_ = true;
-      return HttpError{
-          HttpErrorKind::kProtocol,
-          "status " + std::to_string(status) + " is no answer to the request"};
+      return FailProtocol("status " + std::to_string(status) +
+                          " is no answer to the request");
     }
     if (!status::IsInterim(status)) {
       return std::nullopt;
@@ -110,8 +112,37 @@
       on_processing();
     }
   }
-  is_broken_ = true;
-  return HttpError{HttpErrorKind::kProtocol, "too many interim responses"};
+  return FailProtocol("too many interim responses");
+}
+
+// The parser takes each line with all that continue it, so that what it has
+// parsed at a time holds a folded line as a whole.
+std::optional<HttpError> ClientConnection::ReadOneHead() {
+  constexpr std::size_t kMaxRead = 64UL * 1024;
+  while (true) {
+    boost::system::error_code error;
+    if (buffer_.size() > 0) {
+      const std::size_t parsed = parser_->put(buffer_.data(), error);
+      if (HasFoldedLine(TextOf(buffer_).substr(0, parsed))) {
+        return FailProtocol("folded header line");
+      }
+      buffer_.consume(parsed);
+    }
+    if (error && error != http::error::need_more) {
+      return Fail(error);
+    }
+    if (parser_->is_header_done()) {
+      return std::nullopt;
+    }
+    const auto space =
+        buffer_.prepare(boost::beast::read_size(buffer_, kMaxRead));
+    const IoOutcome read =
+        Await([&](auto handler) { stream_.async_read_some(space, handler); });
+    buffer_.commit(read.bytes);
+    if (read.error) {
+      return Fail(read.error);
+    }
+  }
 }
 
 StreamPiece ClientConnection::ReadPiece(Duration timeout) {
--- a/src/libs/net/internal/client_connection.h
+++ b/src/libs/net/internal/client_connection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
+#include <string>
 
 #include "libs/net/http_client.h"
 
@@ -51,7 +52,10 @@
   std::optional<HttpError> ReadHead(
       Duration timeout,
       const HttpClient::OnProcessing& on_processing);
+  // Reads the head of the answer, or of one interim response.
+  std::optional<HttpError> ReadOneHead();
   HttpError Fail(const boost::system::error_code& error);
+  HttpError FailProtocol(std::string reason);
 
   static constexpr std::size_t kReadAheadBytes = 64UL * 1024;
 
--- /dev/null
+++ b/src/libs/net/internal/head_text.h
@@ -0,0 +1,21 @@
+// Checks of a message's head as it was received, before it is parsed.
+
+#ifndef LIBS_NET_INTERNAL_HEAD_TEXT_H_
+#define LIBS_NET_INTERNAL_HEAD_TEXT_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <string_view>
+
+namespace bilberryspool::net::internal {
+
+// Valid until the buffer changes.
+std::string_view TextOf(const boost::beast::flat_buffer& buffer);
+
+// Returns true if a header line continues the value of the previous one. The
+// parser would join the two lines; a reader that takes them for two fields
+// would see another message, and perhaps another length of its body.
+bool HasFoldedLine(std::string_view head);
+
+}  // namespace bilberryspool::net::internal
+
+#endif  // LIBS_NET_INTERNAL_HEAD_TEXT_H_
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -10,6 +10,7 @@
 #include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
+#include "libs/net/internal/head_text.h"
 #include "libs/net/internal/server_exchange.h"
 #include "libs/net/steady_time.h"
 
@@ -52,11 +53,6 @@
   return kCopies * bytes;
 }
 
-std::string_view TextOf(const boost::beast::flat_buffer& buffer) {
-  const auto data = buffer.cdata();
-  return {static_cast<const char*>(data.data()), data.size()};
-}
-
 // Returns the position after the empty line that ends the head, or npos.
 std::size_t EndOfHead(std::string_view text) {
   constexpr std::string_view kEnd = "\r\n\r\n";
@@ -64,14 +60,6 @@
   return found == std::string_view::npos ? found : found + kEnd.size();
 }
 
-// Returns true if a header line continues the value of the previous one. The
-// parser would join the two lines; a target that reads them as two fields would
-// see a different request than the one checked here.
-bool HasFoldedLine(std::string_view head) {
-  return head.find("\n ") != std::string_view::npos ||
-         head.find("\n\t") != std::string_view::npos;
-}
-
 // Returns an error if the request could be interpreted in two ways by different
 // HTTP implementations (RFC 9112, sections 3.2 and 6.1).
 std::optional<Rejection> FindAmbiguity(const http::fields& fields,
--- a/tests/auto/net/broken_answer_test.cc
+++ b/tests/auto/net/broken_answer_test.cc
@@ -93,5 +93,26 @@
   }
 }
 
+// Guards against answers with a malformed field line being passed on, with that
+// line or with another body than the peer's.
+TEST_CASE("an answer with a malformed field name is a protocol error") {
+  using std::string_literals::operator""s;
+  for (const std::string& line :
+       {"Na me: v"s, "Name : v"s, "Name\t: v"s, " Name: v"s, "\tName: v"s,
+        "Na\tme: v"s, "Na\0me: v"s, "\x01Name: v"s, "Name\x1f: v"s,
+        "Na\x7fme: v"s, "Na\rme: v"s, "Na\nme: v"s, ": v"s, "Name"s,
+        "Na\xe4me: v"s, " Content-Length: 1"s, "Content-Length : 1"s,
+        "Transfer-Encoding : chunked"s, "\tTransfer-Encoding: chunked"s}) {
+    for (const std::string& head :
+         {"HTTP/1.1 200 OK\r\n" + line + "\r\n" + kFields,
+          "HTTP/1.1 200 OK\r\nFirst: f\r\n" + line + "\r\n" + kFields,
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok"}) {
+      CAPTURE(head);
+      const auto result = SendTo(head);
+      CHECK(IsProtocolError(result));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
--- a/tests/processes/platform/broken_answers.py
+++ b/tests/processes/platform/broken_answers.py
@@ -15,11 +15,20 @@
 LIMIT_S = 20
 OK, BODY = "HTTP/1.1 200 OK\r\n(seal)", "the target's body"
 LENGTH = f"Content-Length: {len(BODY)}\r\n"
+CHUNKED = f"Transfer-Encoding: chunked\r\n\r\n{len(BODY):x}\r\n{BODY}\r\n0\r\n"
 
 
 def broken_answers():
     for status in ("000", "001", "099", "101", "600", "999"):
         yield f"HTTP/1.1 {status} OK\r\n(seal){LENGTH}\r\n{BODY}"
+    for line in ("Na me: v", "Name : v", " Name: v", "\tName: v", "Na\tme: v", "Na\0me: v",
+                 "\1Name: v", "Name\x1f: v", "Na\x7fme: v", ": v", "Content-Length : 3"):
+        yield f"{OK}{line}\r\n{LENGTH}\r\n{BODY}"
+        yield f"{OK}{LENGTH}{line}\r\n\r\n{BODY}"
+    # The length, or the coding, is on the malformed line.
+    for line in (f" {LENGTH}", f"\t{LENGTH}", LENGTH.replace(":", " :")):
+        yield f"{OK}{line}\r\n{BODY}, and more"
+    yield f"{OK} {CHUNKED}\r\n"
 
 
 def ask(path, body):
