Tests: answers that are cut off anywhere, in the head too

They guard against a 200 with an empty or short body for an answer whose target stopped in its head or body and closed.

The net test cuts four answers (with a length, chunked, behind an interim answer, without a length) after each of their bytes.

--- a/tests/auto/net/broken_answer_test.cc
+++ b/tests/auto/net/broken_answer_test.cc
@@ -114,5 +114,31 @@
   }
 }
 
+// Guards against answers that are cut off being taken for complete ones.
+TEST_CASE("an answer that is cut off is an error") {
+  const std::string answers[] = {
+      "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+      "\r\n",
+      "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+      "\r\nok",
+  };
+  for (const std::string& answer : answers) {
+    for (std::size_t size = 0; size < answer.size(); ++size) {
+      CAPTURE(answer.substr(0, size));
+      const auto result = SendTo(answer.substr(0, size));
+      CHECK(std::holds_alternative<HttpError>(result));
+    }
+    CHECK(std::holds_alternative<HttpResponse>(SendTo(answer)));
+  }
+  // The end of the connection ends a body without a length, but no head.
+  const std::string head = "HTTP/1.1 200 OK\r\nServer: a\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    CAPTURE(head.substr(0, size));
+    CHECK(std::holds_alternative<HttpError>(SendTo(head.substr(0, size))));
+  }
+  CHECK(std::holds_alternative<HttpResponse>(SendTo(head + "ok")));
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
--- a/tests/processes/platform/broken_answers.py
+++ b/tests/processes/platform/broken_answers.py
@@ -29,6 +29,17 @@
     for line in (f" {LENGTH}", f"\t{LENGTH}", LENGTH.replace(":", " :")):
         yield f"{OK}{line}\r\n{BODY}, and more"
     yield f"{OK} {CHUNKED}\r\n"
+    # Cut off.
+    yield "HTTP/1.1 200 OK"
+    yield "HTTP/1.1 200 OK\r\n"
+    yield OK
+    yield f"{OK}Content-Le"
+    yield f"{OK}{LENGTH}"
+    yield f"{OK}{LENGTH}\r"
+    yield f"{OK}Content-Type: text/event-stream\r\n"
+    yield f"{OK}{LENGTH}\r\n{BODY[:-1]}"
+    yield OK + CHUNKED
+    yield OK + CHUNKED[:-3]
 
 
 def ask(path, body):
