Events without an end keep a gateway busy

Callers saw: beside 600 streams whose targets send an event that never ends, requests of the same gateway waited for seconds: it needed 22.3 s of processor time for them, and lost its control nodes meanwhile.

Cause: with each piece the whole pending event was searched for a blank line, backwards and twice; up to 256 KB for each 16 KB.

Why this works: what is pending has no blank line, so that one can only begin in its last two bytes or behind them. A stream that is cut into single bytes is split as before (same test file).

--- a/src/libs/traffic/event_splitter.cc
+++ b/src/libs/traffic/event_splitter.cc
@@ -24,8 +24,14 @@
 }  // namespace
 
 std::string EventSplitter::Take(std::string_view bytes) {
+  // What is pending has no blank line, but may end with a part of one.
+  constexpr std::size_t kMaxPart = 2;
+  const std::size_t searched =
+      pending_.size() - std::min(pending_.size(), kMaxPart);
   pending_ += bytes;
-  const std::size_t end = EndOfLastEvent(pending_);
+  const std::size_t found =
+      EndOfLastEvent(std::string_view(pending_).substr(searched));
+  const std::size_t end = found == 0 ? 0 : searched + found;
   std::string events = pending_.substr(0, end);
   pending_.erase(0, end);
   RecordLastId(events);
--- a/tests/auto/traffic/event_splitter_test.cc
+++ b/tests/auto/traffic/event_splitter_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,27 @@
     REQUIRE(splitter.last_id().has_value());
     CHECK(*splitter.last_id() == "3");
   }
+  EventSplitter splitter;
+  std::string passed;
+  for (const char byte : stream) {
+    passed += splitter.Take({&byte, 1});
+    CHECK((passed.empty() || passed.ends_with("\n")));
+  }
+  CHECK(passed == stream);
+}
+
+// Guards against a process that is busy with events that never end: each piece
+// must cost the same, however much is pending.
+TEST_CASE("the cost of a piece does not grow with what is pending") {
+  EventSplitter splitter;
+  const std::string piece(1024, 'a');
+  constexpr std::size_t kPieces = 8192;
+  const auto begun = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < kPieces; ++i) {
+    REQUIRE(splitter.Take(piece).empty());
+  }
+  CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(5));
+  CHECK(splitter.unfinished().size() == kPieces * piece.size());
 }
 
 // Guards against a caller that gets an incomplete event followed by another
