Events and answers without an end take a gateway's memory together

Callers saw: a gateway of 112 MB would have been ended, and the requests of all its other callers with it, by 600 requests at targets that send events or bodies without an end; one of 160 MB by 1,500.

Cause: each unfinished event had 256 KB, without a bound on their sum. Bodies had one, but each had 64 KB beyond it. And strings that grow at the same time left holes in the heap, about as large together as the strings.

Pending bytes are kept in blocks of one size, which the heap can use again. Heads were bounded already, for each connection.

--- a/src/libs/traffic/event_splitter.cc
+++ b/src/libs/traffic/event_splitter.cc
@@ -26,21 +26,24 @@
 std::string EventSplitter::Take(std::string_view bytes) {
   // What is pending has no blank line, but may end with a part of one.
   constexpr std::size_t kMaxPart = 2;
-  const std::size_t searched =
-      pending_.size() - std::min(pending_.size(), kMaxPart);
-  pending_ += bytes;
-  const std::size_t found =
-      EndOfLastEvent(std::string_view(pending_).substr(searched));
-  const std::size_t end = found == 0 ? 0 : searched + found;
-  std::string events = pending_.substr(0, end);
-  pending_.erase(0, end);
+  const std::string part = pending_.Tail(kMaxPart);
+  const std::string searched = part + std::string(bytes);
+  const std::size_t end = EndOfLastEvent(searched);
+  if (end == 0) {
+    pending_.Append(bytes);
+    return "";
+  }
+  std::string events = pending_.ToString();
+  events += std::string_view(searched).substr(part.size(), end - part.size());
+  pending_.Clear();
+  pending_.Append(std::string_view(searched).substr(end));
   RecordLastId(events);
   return events;
 }
 
 void EventSplitter::DiscardUnfinished() {
 #if !defined(BILBERRYSPOOL_MUTATION_KEEP_UNFINISHED)
-  pending_.clear();
+  pending_.Clear();
 #endif
 }
 
--- a/src/libs/traffic/event_splitter.h
+++ b/src/libs/traffic/event_splitter.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "libs/base/growing_bytes.h"
+
 namespace bilberryspool::traffic {
 
 // Buffers the incomplete last event of a stream. An engine may stop in the
@@ -21,15 +23,15 @@
 
   // The id of the last complete event that had one.
   const std::optional<std::string>& last_id() const { return last_id_; }
-  // Bytes of the incomplete event.
-  const std::string& unfinished() const { return pending_; }
+  // Size of the incomplete event.
+  std::size_t unfinished_bytes() const { return pending_.size(); }
   // Call before a new run that continues after the last complete event.
   void DiscardUnfinished();
 
  private:
   void RecordLastId(std::string_view events);
 
-  std::string pending_;
+  GrowingBytes pending_;
   std::optional<std::string> last_id_;
 };
 
--- a/src/plugins/gateway/answer_buffer.h
+++ b/src/plugins/gateway/answer_buffer.h
@@ -1,48 +1,38 @@
 // The bytes of an answer that a gateway keeps until it has all of them.
-//
-// A target may send bytes without an end, and many requests may be at such
-// targets at a time. The bytes of all answers together are therefore bounded,
-// too.
 
 #ifndef PLUGINS_GATEWAY_ANSWER_BUFFER_H_
 #define PLUGINS_GATEWAY_ANSWER_BUFFER_H_
 
 #include <cstddef>
 #include <string>
+#include <string_view>
+
+#include "libs/base/growing_bytes.h"
+#include "plugins/gateway/answer_room.h"
 
 namespace bilberryspool::gateway {
 
 class AnswerBuffer {
  public:
-  // Maximum size of one answer, and of all that share `total`.
   static constexpr std::size_t kMaxBytes = 4UL * 1024 * 1024;
-  static constexpr std::size_t kMaxTotalBytes = 16UL * 1024 * 1024;
-  // Answers up to this size always have room: most sound ones are smaller, and
-  // must not fail because of others that do not end.
-  static constexpr std::size_t kSmallBytes = 64UL * 1024;
 
   // `total` counts the bytes of all answers; it must outlive this object.
-  explicit AnswerBuffer(std::size_t& total) : total_(total) {}
-  ~AnswerBuffer() { total_ -= bytes_.size(); }
-  AnswerBuffer(const AnswerBuffer&) = delete;
-  AnswerBuffer& operator=(const AnswerBuffer&) = delete;
+  explicit AnswerBuffer(std::size_t& total) : room_(total, kMaxBytes) {}
 
   // Returns false, and appends nothing, if there is no room.
-  bool Append(const std::string& bytes) {
-    const std::size_t size = bytes_.size() + bytes.size();
-    if (size > kMaxBytes ||
-        (size > kSmallBytes && total_ + bytes.size() > kMaxTotalBytes)) {
+  bool Append(std::string_view bytes) {
+    if (!room_.Resize(bytes_.size() + bytes.size())) {
       return false;
     }
-    bytes_ += bytes;
-    total_ += bytes.size();
+    bytes_.Append(bytes);
     return true;
   }
-  const std::string& bytes() const { return bytes_; }
+  std::string ToString() const { return bytes_.ToString(); }
+  std::size_t size() const { return bytes_.size(); }
 
  private:
-  std::size_t& total_;
-  std::string bytes_;
+  AnswerRoom room_;
+  GrowingBytes bytes_;
 };
 
 }  // namespace bilberryspool::gateway
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -88,7 +88,7 @@
   TargetProber prober;
   Tracing tracing;
   std::uint64_t requests_in_progress = 0;
-  // Bytes of answers that are kept until they are complete.
+  // Bytes of answers, and of events, that are kept until they are complete.
   std::size_t buffered_bytes = 0;
   // The largest number of gateways reported so far.
   std::uint64_t gateway_count = 0;
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -423,7 +423,7 @@
   const net::HttpResponseHead& head = stream.head();
   if (head.status >= net::status::kServerError) {
     FinishSend(choice, TargetOutcome::kFailed);
-    failure_ = net::HttpResponse{MakeCallerHead(head), body.bytes()};
+    failure_ = net::HttpResponse{MakeCallerHead(head), body.ToString()};
     return NotServed{SendResult::kFailed,
                      "target answered " + std::to_string(head.status)};
   }
@@ -431,7 +431,7 @@
   if (has_stream_started_) {
     return AnswerAborted{};
   }
-  exchange_.Respond(MakeCallerHead(head), body.bytes());
+  exchange_.Respond(MakeCallerHead(head), body.ToString());
   return Answered{};
 }
 
--- a/src/plugins/gateway/relay_call_streams.cc
+++ b/src/plugins/gateway/relay_call_streams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libs/net/steady_time.h"
+#include "plugins/gateway/answer_room.h"
 #include "plugins/gateway/relay_call.h"
 
 namespace bilberryspool::gateway {
@@ -25,6 +26,7 @@
 RelayCall::SendOutcome RelayCall::RelayStream(const traffic::Choice& choice,
                                               net::HttpClientStream& stream) {
   splitter_.DiscardUnfinished();
+  AnswerRoom room(state_.buffered_bytes, kMaxEventBytes);
   while (true) {
     net::StreamPiece piece = stream.Read(wait_timeout());
     if (const auto* bytes = std::get_if<std::string>(&piece)) {
@@ -36,7 +38,7 @@
         FinishSend(choice, TargetOutcome::kGood);
         return CallerDisconnected{};
       }
-      if (splitter_.unfinished().size() > kMaxEventBytes) {
+      if (!room.Resize(splitter_.unfinished_bytes())) {
         return EndEndlessAnswer(choice, stream, "an event is too long");
       }
       continue;
@@ -46,7 +48,7 @@
     }
     break;
   }
-  if (!splitter_.unfinished().empty() || !has_stream_started_) {
+  if (splitter_.unfinished_bytes() > 0 || !has_stream_started_) {
     FinishSend(choice, TargetOutcome::kFailed);
     send_log_ += " torn";
     if (HasTerminated(choice, net::HttpErrorKind::kClosed)) {
--- a/tests/auto/traffic/event_splitter_test.cc
+++ b/tests/auto/traffic/event_splitter_test.cc
@@ -20,7 +20,7 @@
     CHECK((passed.empty() || passed.ends_with("\n")));
     passed += splitter.Take(stream.substr(cut));
     CHECK(passed == stream);
-    CHECK(splitter.unfinished().empty());
+    CHECK(splitter.unfinished_bytes() == 0);
     REQUIRE(splitter.last_id().has_value());
     CHECK(*splitter.last_id() == "3");
   }
@@ -44,7 +44,7 @@
     REQUIRE(splitter.Take(piece).empty());
   }
   CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(5));
-  CHECK(splitter.unfinished().size() == kPieces * piece.size());
+  CHECK(splitter.unfinished_bytes() == kPieces * piece.size());
 }
 
 // Guards against a caller that gets an incomplete event followed by another
@@ -54,7 +54,8 @@
 TEST_CASE("an incomplete event is discarded with its run") {
   EventSplitter splitter;
   CHECK(splitter.Take("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
-  CHECK(splitter.unfinished() == "id: 2\nda");
+  EventSplitter continued = splitter;
+  CHECK(continued.Take("ta\n\n") == "id: 2\ndata\n\n");
   CHECK(*splitter.last_id() == "1");
   splitter.DiscardUnfinished();
   CHECK(splitter.Take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
