--- a/tests/processes/platform/deployment_on_platform.sh
+++ b/tests/processes/platform/deployment_on_platform.sh
@@ -82,7 +82,7 @@
 }
 # Targets that answer with what the request says; see raw_target.py.
 start_raw_targets() { # COUNT
-  start raw python3 "$(dirname "${BASH_SOURCE[0]}")/raw_target.py" 127.0.0.9 "${P}70" "$1" \
+  start raw python3 "$(dirname "${BASH_SOURCE[0]}")/../raw_target.py" 127.0.0.9 "${P}70" "$1" \
     "${SEEDS_OF_TARGETS#--control=}"
 }
 start_platform() {
--- a/tests/processes/platform/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -1,13 +1,19 @@
-"""Targets of the users' platform that answer with any bytes.
+"""Targets that answer with any bytes.
 
-raw_target.py ADDRESS FIRST_PORT COUNT CONTROL[,CONTROL...]
+raw_target.py ADDRESS FIRST_PORT COUNT [CONTROL,...]
 
-Announces COUNT targets at the control nodes (IP:PORT). A request whose body
-begins with "HTTP/" is answered with that body as it is, and then the connection
-is closed. With the path /.../endless, or /.../dripping, the last 64 bytes of the
-body follow again and again, as fast as they are read or 16 KB every 200 ms,
-until the caller closes. With /.../slow a sound answer comes after 20 s. All others get
-a sound answer.
+Announces COUNT targets of the users' platform at the control nodes (IP:PORT), if
+there are any.
+
+A request whose body begins with "HTTP/" is answered with that body as it is, and
+then the connection is closed. The path says what else an answer is like:
+/.../endless    the last 64 bytes of the body follow again and again, as fast as
+                they are read, until the caller closes
+/.../dripping   the same, 16 KB every 200 ms
+/.../slow       a sound answer after 20 s
+/load           the report of an idle engine; once /.../endless_load was asked for,
+                bytes without an end
+All others get a sound answer.
 """
 import json
 import socket
@@ -17,7 +23,8 @@
 import urllib.request
 
 address, first_port, count = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
-controls = sys.argv[4].split(",")
+controls = sys.argv[4].split(",") if len(sys.argv) > 4 else []
+endless_load = threading.Event()
 SEAL = "Bilberryspool-Response-Seal: seal-of-raw\r\n"
 ENDLESS = ("/endless", "/dripping")
 
@@ -68,6 +75,14 @@
         if path.endswith("/slow"):
             print("run", attempt, flush=True)
             time.sleep(20)
+        if path.endswith("/endless_load"):
+            endless_load.set()
+        if path == "/load":
+            body = b"HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + b'{"running":0,"queued":0}'
+            if endless_load.is_set():
+                connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+                while True:
+                    connection.sendall(b"[" * 65536)
         if not body.startswith(b"HTTP/"):
             body = (f"HTTP/1.1 200 OK\r\n{SEAL}Bilberryspool-Attempt-Id: {attempt}\r\n"
                     "Content-Length: 5\r\n\r\nsound").encode()
