An engine's report without an end takes an agent's memory

Callers saw: nothing yet; an agent on a small VM would end, and the requests at its engine with it.

Cause: the probes of load and of experts and the orders to engines read up to 64 MB of an answer, each into memory that grows to twice that. Sidecars and control nodes allow 1 MB.

Why this works: all clients for reports of engines have the options of the sidecars' now, which moved to the client's library.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -14,6 +14,12 @@
 using internal::ClientConnection;
 using ConnectionPointer = std::unique_ptr<ClientConnection>;
 
+HttpClientOptions OptionsForReports() {
+  HttpClientOptions options;
+  options.max_body_bytes = 1024UL * 1024;
+  return options;
+}
+
 struct HttpClient::Private {
   Private(NetworkLoop& network_loop, HttpClientOptions client_options)
       : loop(network_loop), options(client_options) {}
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -32,6 +32,10 @@
   std::size_t max_interim_responses = 1000;
 };
 
+// For calls to engines that are read as a whole: their reports, counts and maps
+// take less than 1 MB, and a faulty engine may send bytes without an end.
+HttpClientOptions OptionsForReports();
+
 // The end of a streamed body.
 struct StreamEnd {};
 
--- a/src/plugins/agent/engine_orders.cc
+++ b/src/plugins/agent/engine_orders.cc
@@ -35,7 +35,7 @@
       incarnation_(incarnation),
       on_event_(std::move(on_event)),
       on_lost_(std::move(on_lost)),
-      client_(loop, {}) {}
+      client_(loop, net::OptionsForReports()) {}
 
 void EngineOrders::Enqueue(Job job) {
   jobs_.push_back(std::move(job));
--- a/src/plugins/agent/expert_probe.cc
+++ b/src/plugins/agent/expert_probe.cc
@@ -33,7 +33,7 @@
     : loop_(loop),
       engine_(std::move(engine)),
       on_counts_(std::move(on_counts)),
-      client_(loop, {}) {}
+      client_(loop, net::OptionsForReports()) {}
 
 void ExpertProbe::Start() {
   loop_.Spawn([this] {
--- a/src/plugins/agent/load_probe.cc
+++ b/src/plugins/agent/load_probe.cc
@@ -30,7 +30,7 @@
       engine_(std::move(engine)),
       interval_(interval),
       on_load_(std::move(on_load)),
-      client_(loop, {}) {}
+      client_(loop, net::OptionsForReports()) {}
 
 void LoadProbe::Start() {
   loop_.Spawn([this] {
--- a/src/plugins/control_node/engine_calls.cc
+++ b/src/plugins/control_node/engine_calls.cc
@@ -37,7 +37,7 @@
 EngineCalls::EngineCalls(net::NetworkLoop& loop,
                          links::LinkClient& links,
                          std::uint16_t sidecar_port)
-    : client_(loop, sidecar::EngineClientOptions()),
+    : client_(loop, net::OptionsForReports()),
       links_(links),
       sidecar_port_(sidecar_port),
       log_("groups") {}
--- a/src/plugins/sidecar/engine_reader.cc
+++ b/src/plugins/sidecar/engine_reader.cc
@@ -32,7 +32,7 @@
 EngineReader::EngineReader(net::NetworkLoop& loop,
                            net::Endpoint engine,
                            EngineProtocol protocol)
-    : client_(loop, EngineClientOptions()),
+    : client_(loop, net::OptionsForReports()),
       engine_(std::move(engine)),
       protocol_(std::move(protocol)),
       counters_(MakeFirstMark()) {}
--- a/src/plugins/sidecar/engine_relay.cc
+++ b/src/plugins/sidecar/engine_relay.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 EngineRelay::EngineRelay(net::NetworkLoop& loop)
-    : loop_(loop), client_(loop, EngineClientOptions()) {}
+    : loop_(loop), client_(loop, net::OptionsForReports()) {}
 
 net::HttpClient::SendResult EngineRelay::Send(const net::Endpoint& engine,
                                               const net::HttpRequest& request,
--- a/src/plugins/sidecar/sidecar_call.cc
+++ b/src/plugins/sidecar/sidecar_call.cc
@@ -30,12 +30,6 @@
   return request;
 }
 
-net::HttpClientOptions EngineClientOptions() {
-  net::HttpClientOptions options;
-  options.max_body_bytes = 1024UL * 1024;
-  return options;
-}
-
 Duration TimeoutOf(const net::HttpRequest& request) {
   const std::int64_t ms = NumberOf(request, kTimeoutField);
   return ms <= 0 ? kMaxEngineTimeout
--- a/src/plugins/sidecar/sidecar_call.h
+++ b/src/plugins/sidecar/sidecar_call.h
@@ -7,7 +7,6 @@
 #include <optional>
 
 #include "libs/base/time.h"
-#include "libs/net/http_client.h"
 #include "libs/net/http_message.h"
 
 namespace bilberryspool::sidecar {
@@ -33,10 +32,6 @@
 inline constexpr char kLivenessTarget[] = "/alive";
 net::HttpRequest MakeLivenessRequest();
 
-// For calls to engines: their reports, counts and maps take less than 1 MB, and
-// a faulty engine may send bytes without an end.
-net::HttpClientOptions EngineClientOptions();
-
 // Returns the time that the requester allows the engine, within bounds.
 Duration TimeoutOf(const net::HttpRequest& request);
 // Returns the time given by `kRepeatField`; nothing if the request must not be
