Requests that come late in a gateway's stop are passed on and cut off

Callers saw: in a planned stop, a request whose last bytes came seconds after SIGTERM was passed on to a target, and its connection closed without an answer when the process ended, also where it must not be repeated.

Cause: a gateway closes its port 2.5 s after SIGTERM, but a connection that is in the middle of a request stays, and the request was served like any other, whatever time was left.

Evidence: stopping_gateway_test, targets that take 20 s: of 15 requests that became whole 4.5 to 6.5 s after SIGTERM (grace 8 s), ran all and answered none. Now all 15 get 503 at once and none reaches a target.

Why this works: from 2.5 s, or half of a shorter grace, a request is only taken if its time is over before the requests in progress are ended; the others have not run, and other gateways serve them at once. Requests that come sooner are served as before.

--- a/src/plugins/gateway/gateway_process.cc
+++ b/src/plugins/gateway/gateway_process.cc
@@ -361,16 +361,24 @@
     FollowSeeds(gateway->seeds);
   }
 
+  void SleepUntil(TimePoint time) {
+    while (SteadyNow() < time) {
+      loop_.SleepFor(kDrainPollInterval);
+    }
+  }
+
   void Drain() {
     const TimePoint started_at = SteadyNow();
     const TimePoint limit = started_at + settings_.drain_grace - kExitMargin;
     is_draining_ = true;
     callers_.CloseAfterAnswers();
     log_.Info("Draining.", {{"in_progress", state_.requests_in_progress}});
-    const TimePoint close_at = std::min(started_at + kBalancerDelay, limit);
-    while (SteadyNow() < close_at) {
-      loop_.SleepFor(kDrainPollInterval);
-    }
+    // Requests that began to arrive before may become whole much later.
+    const TimePoint refuse_at = std::min(started_at + kBalancerDelay,
+                                         started_at + (limit - started_at) / 2);
+    SleepUntil(refuse_at);
+    state_.ends_at = limit;
+    SleepUntil(std::min(started_at + kBalancerDelay, limit));
     callers_.Drain();
     while (callers_.counts().requests_in_progress > 0 && SteadyNow() < limit) {
       loop_.SleepFor(kDrainPollInterval);
--- a/src/plugins/gateway/gateway_state.h
+++ b/src/plugins/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -88,6 +89,9 @@
   TargetProber prober;
   Tracing tracing;
   std::uint64_t requests_in_progress = 0;
+  // When the requests in progress end; set late in a planned stop. Those that
+  // arrive from then on and may last longer are refused.
+  std::optional<TimePoint> ends_at;
   // Bytes of answers, and of events, that are kept until they are complete.
   std::size_t buffered_bytes = 0;
   // The largest number of gateways reported so far.
--- a/src/plugins/gateway/relay_call.cc
+++ b/src/plugins/gateway/relay_call.cc
@@ -80,6 +80,10 @@
   for (const std::string& id : head_.shared_parts) {
     parts_.push_back(quarantine::FingerprintOfPromptPart(id));
   }
+  if (state_.ends_at.has_value() && deadline_ > *state_.ends_at) {
+    RefuseStopping();
+    return false;
+  }
   return true;
 }
 
--- a/src/plugins/gateway/relay_call.h
+++ b/src/plugins/gateway/relay_call.h
@@ -52,7 +52,7 @@
 
   // relay_call.cc
   // Finds the route and the service. Answers the caller and returns false if
-  // there is none.
+  // there is none, or no time left to serve the request.
   bool Admit();
   // The identity of the request for the quarantine.
   quarantine::RequestFingerprint Fingerprint() const;
@@ -118,6 +118,9 @@
   // Refuses a request because all targets are full or have reached their
   // limits.
   void RefuseFull();
+  // Refuses a request that might not be answered before the gateway has
+  // stopped.
+  void RefuseStopping();
   // Refuses a request because targets that may be cold have had their share of
   // this gateway's requests.
   void RefuseCold();
--- a/src/plugins/gateway/relay_call_answers.cc
+++ b/src/plugins/gateway/relay_call_answers.cc
@@ -168,6 +168,11 @@
          "all targets have as much as their limits allow");
 }
 
+// Other gateways can serve the caller at once.
+void RelayCall::RefuseStopping() {
+  Refuse(kMinRetryAfter, "the gateway stops");
+}
+
 void RelayCall::RefuseCold() {
   const auto wait = state_.targets.TimeUntilColdStart(service_, SteadyNow());
   Refuse(std::clamp(wait.value_or(RetryAfter()), kMinRetryAfter,
