Answers with an unknown transfer coding reach callers, coded

Callers saw: for an answer with "Transfer-Encoding: gzip" (or identity, xchunked, "chunked, gzip", "gzip, chunked") a 200 with the target's digest, framed as whole, whose body was the coded bytes.

Cause: as for folded lines, the client relied on the parser, which leaves codings other than chunked in the body; the field itself is dropped as it concerns one connection. The server refuses such requests.

Two lengths, lengths that are no numbers, a length beside chunked and chunks that don't fit were refused already, as were control bytes in the reason, in values and between the words of a status line. Unusual but sound answers are read as before (third new case).

Why this works: one function checks requests and answers.

--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -11,7 +11,7 @@
 #include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
-#include "libs/net/internal/head_text.h"
+#include "libs/net/internal/head_checks.h"
 
 namespace bilberryspool::net::internal {
 
@@ -105,6 +105,9 @@
       return FailProtocol("status " + std::to_string(status) +
                           " is no answer to the request");
     }
+    if (HasUnknownCoding(parser_->get())) {
+      return FailProtocol("unknown transfer encoding");
+    }
     if (!status::IsInterim(status)) {
       return std::nullopt;
     }
--- a/src/libs/net/internal/head_text.h
+++ b/src/libs/net/internal/head_checks.h
@@ -1,9 +1,10 @@
-// Checks of a message's head as it was received, before it is parsed.
+// Checks of a message's head that the parser does not make.
 
-#ifndef LIBS_NET_INTERNAL_HEAD_TEXT_H_
-#define LIBS_NET_INTERNAL_HEAD_TEXT_H_
+#ifndef LIBS_NET_INTERNAL_HEAD_CHECKS_H_
+#define LIBS_NET_INTERNAL_HEAD_CHECKS_H_
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <string_view>
 
 namespace bilberryspool::net::internal {
@@ -16,6 +17,10 @@
 // would see another message, and perhaps another length of its body.
 bool HasFoldedLine(std::string_view head);
 
+// Returns true if the body has another transfer coding than "chunked" alone.
+// The parser would leave the other codings in the body.
+bool HasUnknownCoding(const boost::beast::http::fields& fields);
+
 }  // namespace bilberryspool::net::internal
 
-#endif  // LIBS_NET_INTERNAL_HEAD_TEXT_H_
+#endif  // LIBS_NET_INTERNAL_HEAD_CHECKS_H_
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -10,7 +10,7 @@
 #include "libs/net/http_status.h"
 #include "libs/net/internal/await.h"
 #include "libs/net/internal/beast_convert.h"
-#include "libs/net/internal/head_text.h"
+#include "libs/net/internal/head_checks.h"
 #include "libs/net/internal/server_exchange.h"
 #include "libs/net/steady_time.h"
 
@@ -69,10 +69,7 @@
   if (hosts > 1 || (hosts == 0 && version >= kHttp11)) {
     return Rejection{400, "exactly one Host is needed\n"};
   }
-  const auto coding = fields.find(http::field::transfer_encoding);
-  if (coding != fields.end() &&
-      (fields.count(http::field::transfer_encoding) > 1 ||
-       !EqualNames(std::string(coding->value()), "chunked"))) {
+  if (HasUnknownCoding(fields)) {
     return Rejection{501, "unknown transfer encoding\n"};
   }
   return std::nullopt;
--- a/tests/auto/net/broken_answer_test.cc
+++ b/tests/auto/net/broken_answer_test.cc
@@ -140,5 +140,81 @@
   CHECK(std::holds_alternative<HttpResponse>(SendTo(head + "ok")));
 }
 
+// Guards against bytes in a status line or a value that may not be there.
+TEST_CASE("an answer with a malformed line is a protocol error") {
+  using std::string_literals::operator""s;
+  for (const std::string& head :
+       {"HTTP/1.1  200 OK\r\n"s, "HTTP/1.1\t200 OK\r\n"s,
+        " HTTP/1.1 200 OK\r\n"s, "HTTP/2.0 200 OK\r\n"s, "HTTP/1.1200 OK\r\n"s,
+        "HTTP/1.1 200 O\x01K\r\n"s, "HTTP/1.1 200 O\0K\r\n"s,
+        "HTTP/1.1 200 OK\n"s, "HTTP/1.1 200 OK\r\nA: b\0c\r\n"s,
+        "HTTP/1.1 200 OK\r\nA: b\x01\r\n"s, "HTTP/1.1 200 OK\r\nA: b\rc\r\n"s,
+        "HTTP/1.1 200 OK\r\nA: b\nC: d\r\n"s,
+        "HTTP/1.1 200 OK\r\nA: b\x7f\r\n"s}) {
+    CAPTURE(head);
+    CHECK(IsProtocolError(SendTo(head + kFields)));
+  }
+}
+
+// Guards against answers whose length peers may read differently being passed
+// on, with another body than the peer's.
+TEST_CASE("an answer with an ambiguous length is a protocol error") {
+  for (const std::string fields :
+       {"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 3",
+        "Content-Length: x", "Content-Length: -2", "Content-Length: +2",
+        "Content-Length: 0x2", "Content-Length: 2 2",
+        "Content-Length:", "Content-Length: 99999999999999999999999",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+        "Transfer-Encoding: xchunked", "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"}) {
+    for (const std::string body : {"2\r\nok\r\n0\r\n\r\n", "ok"}) {
+      CAPTURE(fields);
+      CAPTURE(body);
+      CHECK(IsProtocolError(
+          SendTo("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n" + body)));
+    }
+  }
+  for (const std::string body :
+       {"2\r\nokay\r\n0\r\n\r\n", "3\r\nok\r\n0\r\n\r\n",
+        "x\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n", "\r\nok\r\n0\r\n\r\n",
+        "2\nok\n0\n\n", "2\r\nok0\r\n\r\n",
+        "fffffffffffffffff\r\nok\r\n0\r\n\r\n"}) {
+    CAPTURE(body);
+    CHECK(std::holds_alternative<HttpError>(SendTo(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body)));
+  }
+}
+
+// Guards against checks that refuse sound answers.
+TEST_CASE("unusual but valid answers are read") {
+  const std::string body = "2\r\nok\r\n0\r\n";
+  const std::string answers[] = {
+      "HTTP/1.1 200 \r\n" + kFields,
+      "HTTP/1.1 299 Odd\r\n" + kFields,
+      "HTTP/1.1 599 Odd\r\n" + kFields,
+      "HTTP/1.0 200 OK\r\n" + kFields,
+      "HTTP/1.1 200 O\xe4K\r\n" + kFields,
+      "HTTP/1.1 200 OK\r\nA: \xc3\xa4\tb  c\r\n" + kFields,
+      "HTTP/1.1 200 OK\r\nA:\r\nB:b  \r\n" + kFields,
+      "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0Az: b\r\n" + kFields,
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + body + "\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=\"b\"\r\nok"
+      "\r\n0\r\nTrailer: t\r\n\r\n"};
+  for (const std::string& answer : answers) {
+    CAPTURE(answer);
+    const auto result = SendTo(answer);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    CHECK(response != nullptr);
+    if (response != nullptr) {
+      CHECK(std::to_string(response->head.status) == answer.substr(9, 3));
+      CHECK(response->body == "ok");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
--- a/tests/processes/platform/broken_answers.py
+++ b/tests/processes/platform/broken_answers.py
@@ -29,6 +29,8 @@
     for line in (f" {LENGTH}", f"\t{LENGTH}", LENGTH.replace(":", " :")):
         yield f"{OK}{line}\r\n{BODY}, and more"
     yield f"{OK} {CHUNKED}\r\n"
+    for coding in ("gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked"):
+        yield OK + CHUNKED.replace("chunked", coding)
     # Cut off.
     yield "HTTP/1.1 200 OK"
     yield "HTTP/1.1 200 OK\r\n"
