Interim answers hold a request past its caller's time

Callers saw: no answer at the end of their time, for up to 1,000 interim answers of a target.

Cause: each interim answer starts the time limit of the head again. That is for entries, whose agents show by it that the engine works; a gateway gets it from a faulty target.

Slow bytes of a field or a body didn't extend it before either.

Why this works: the limit starts again only where the requester follows the interim answers.

--- a/src/libs/net/internal/client_connection.cc
+++ b/src/libs/net/internal/client_connection.cc
@@ -91,12 +91,12 @@
 std::optional<HttpError> ClientConnection::ReadHead(
     Duration timeout,
     const HttpClient::OnProcessing& on_processing) {
+  stream_.expires_after(timeout);
   for (std::size_t i = 0; i <= options_.max_interim_responses; ++i) {
     parser_.emplace();
     parser_->header_limit(
         static_cast<std::uint32_t>(options_.max_header_bytes));
     parser_->body_limit(options_.max_body_bytes);
-    stream_.expires_after(timeout);
     if (auto error = ReadOneHead()) {
       return error;
     }
@@ -113,6 +113,7 @@
     }
     if (on_processing) {
       on_processing();
+      stream_.expires_after(timeout);
     }
   }
   return FailProtocol("too many interim responses");
--- a/tests/auto/net/endless_answer_test.cc
+++ b/tests/auto/net/endless_answer_test.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <string>
 #include <thread>
 
@@ -20,11 +21,14 @@
 
 using boost::asio::ip::tcp;
 
-// Sends `first` once and then `rest` again and again, until the client closes.
+// Sends `first` once and then `rest` again and again, until the client closes:
+// as fast as it reads, or one at a time after each `pause`.
 class EndlessServer {
  public:
-  EndlessServer(std::string first, std::string rest)
-      : first_(std::move(first)), rest_(std::move(rest)) {
+  EndlessServer(std::string first,
+                std::string rest,
+                std::chrono::milliseconds pause = {})
+      : first_(std::move(first)), rest_(std::move(rest)), pause_(pause) {
     thread_ = std::thread([this] { Serve(); });
   }
   ~EndlessServer() { thread_.join(); }
@@ -47,11 +51,12 @@
     boost::asio::streambuf request;
     boost::asio::read_until(socket, request, "\r\n\r\n", error);
     boost::asio::write(socket, boost::asio::buffer(first_), error);
-    std::string piece;
-    while (piece.size() < kPieceBytes) {
+    std::string piece = rest_;
+    while (pause_.count() == 0 && piece.size() < kPieceBytes) {
       piece += rest_;
     }
     while (!error && sent_bytes_ < kMaxSent) {
+      std::this_thread::sleep_for(pause_);
       sent_bytes_ +=
           boost::asio::write(socket, boost::asio::buffer(piece), error);
     }
@@ -60,6 +65,7 @@
 
   std::string first_;
   std::string rest_;
+  std::chrono::milliseconds pause_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_{
       io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
@@ -131,5 +137,33 @@
   }
 }
 
+// Guards against a request that waits past its time limit, as its peer sends
+// interim answers, or the bytes of a head, one at a time.
+TEST_CASE("an answer that arrives slowly does not extend the time limit") {
+  const Row rows[] = {
+      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"name of a field", kHead, "a"},
+      {"fields", kHead, "A: b\r\n"},
+      {"body", kHead + "\r\n", "a"},
+  };
+  constexpr Duration kTimeout = Milliseconds(500);
+  constexpr Duration kLate = Seconds(5);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndlessServer server(row.first, row.rest, std::chrono::milliseconds(20));
+    NetworkLoop loop;
+    loop.Run([&] {
+      HttpClient client(loop, {});
+      const TimePoint begun = SteadyNow();
+      const auto result =
+          client.Send(server.endpoint(), HttpRequest{}, kTimeout);
+      const auto* error = std::get_if<HttpError>(&result);
+      REQUIRE(error != nullptr);
+      CHECK(error->kind == HttpErrorKind::kTimeout);
+      CHECK(SteadyNow() - begun < kLate);
+    });
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
