Tests: whole requests on open connections in a gateway's stop

The test of a stop had requests in pieces and targets that take 20 s only. It also sends whole requests on connections that have served others, and has targets that take 2 and 4 s: 154 requests, each answered whole or, on an open connection, not read; none is refused that has run.

--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -75,10 +75,10 @@
 
   // Sends `request` and waits for the head of the response. `timeout` bounds
   // the time to connect and the wait for the head; with `on_processing` it
-  // starts again after each interim response. A pooled connection that turns out to be closed before any
-  // response gives kClosed, as the request may have run. With `body`, that is
-  // sent instead of the request's, which is not copied; it must stay valid
-  // until the call returns.
+  // starts again after each interim response. A pooled connection that turns
+  // out to be closed before any response gives kClosed, as the request may have
+  // run. With `body`, that is sent instead of the request's, which is not
+  // copied; it must stay valid until the call returns.
   OpenResult Open(const Endpoint& endpoint,
                   const HttpRequest& request,
                   Duration timeout,
--- a/tests/processes/platform/late_requests.py
+++ b/tests/processes/platform/late_requests.py
@@ -1,10 +1,11 @@
 """Sends requests to a gateway while it is stopped.
 
-late_requests.py PORT PID GRACE_S
+late_requests.py PORT PID GRACE_S RUNS
 
-All go to targets that answer after the end of the grace. Ends the process with
-SIGTERM, and fails if a request gets no whole answer within the grace, or if one
-that becomes whole late in it is passed on, or not refused at once.
+Ends the process with SIGTERM. Fails if a request that it has read gets no whole
+answer, if one that becomes whole late in the grace is passed on to a target that
+answers after it, or not refused at once, or if one that ran (RUNS: the output of
+raw_target.py) has no answer.
 """
 import os
 import select
@@ -13,43 +14,65 @@
 import sys
 import time
 
-port, pid, grace_s = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+port, pid, grace_s, runs = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4]
 STEP_S = 0.5
 SLACK_S = 1.0
+ROUTES = ("/a", "/again", "/stream")
+TOO_SLOW = "/slow-20"
 
 
 class Request:
-    """A request whose last byte is sent `at` seconds after SIGTERM."""
+    """A request whose last byte is sent `at` seconds after SIGTERM: the others long
+    before, or with it, on a connection that has served another one."""
 
-    def __init__(self, path, at):
-        self.name, self.at = f"late-{path.strip('/').replace('/', '-')}-{at}", at
+    def __init__(self, path, at, is_in_pieces):
+        self.name = f"late{path.replace('/', '-')}-{'pieces' if is_in_pieces else 'kept'}-{at}"
+        self.path, self.at, self.is_in_pieces = path, at, is_in_pieces
         self.answer, self.whole_at, self.answered_at = b"", None, None
         self.connection = socket.create_connection(("127.0.0.1", port))
-        self.connection.sendall((f"POST {path} HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
-                                 f"Bilberryspool-Attempt-Id: {self.name}\r\n"
-                                 "Bilberryspool-Deadline-Ms: 8000\r\nContent-Length: 5\r\n\r\n"
-                                 "orde").encode())
+        self.rest = self.text(path, self.name)
+        if is_in_pieces:
+            self.connection.sendall(self.rest[:-1])
+            self.rest = self.rest[-1:]
+            return
+        self.connection.sendall(self.text("/a/x", self.name + "-first"))
+        assert self.connection.recv(65536).endswith(b"sound")
+
+    @staticmethod
+    def text(path, name):
+        return (f"POST {path} HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+                f"Bilberryspool-Attempt-Id: {name}\r\nBilberryspool-Deadline-Ms: 8000\r\n"
+                "Content-Length: 5\r\n\r\norder").encode()
 
     def finish(self):
-        self.connection.sendall(b"r")
         self.whole_at = time.monotonic()
+        try:
+            self.connection.sendall(self.rest)
+        except OSError:
+            pass
 
     def read(self):
         """Returns whether there will be more."""
         try:
             piece = self.connection.recv(65536)
-        except ConnectionError:
+        except OSError:
             piece = b""
         self.answer += piece
         self.answered_at = time.monotonic()
         return bool(piece)
 
-    def fault(self):
+    def fault(self, has_run):
+        if not self.answer and not self.is_in_pieces and not has_run:
+            return ""
         head, end, body = self.answer.decode().partition("\r\n\r\n")
         fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:])
         if not end or len(body) != int(fields.get("Content-Length", -1)):
             return f"no whole answer: {self.answer!r}"
         status, took = head.split(" ")[1], self.answered_at - self.whole_at
+        if status == "503" and has_run:
+            return "refused, and has run"
+        if not self.path.endswith(TOO_SLOW):
+            return "" if status in ("200", "503") else f"was answered {status}"
         if status == "200":
             return "200 from a target that has not answered"
         if self.at > grace_s / 2 and (status != "503" or took > SLACK_S):
@@ -57,9 +80,13 @@
         return ""
 
 
-PATHS = ("/a/slow", "/again/slow", "/stream/slow")
-requests = [Request(path, step * STEP_S) for path in PATHS
-            for step in range(int((grace_s - SLACK_S) / STEP_S))]
+times = [step * STEP_S for step in range(int((grace_s - SLACK_S) / STEP_S))]
+requests = [Request(route + TOO_SLOW, at, True) for route in ROUTES for at in times]
+for work in ("/slow-2", "/slow-4"):
+    # Work of 4 s takes all the time of the plain route.
+    for route in ROUTES if work == "/slow-2" else ROUTES[2:]:
+        requests += [Request(route + work, at, is_in_pieces)
+                     for at in times for is_in_pieces in (True, False)]
 # Those that are in progress when the process is told to stop.
 for request in requests:
     if request.at == 0:
@@ -76,8 +103,11 @@
         if select.select([request.connection], [], [], 0)[0] and not request.read():
             waiting.remove(request)
     time.sleep(0.01)
-faults = [(r.name, r.fault()) for r in requests if r.fault()]
-for name, fault in faults:
+with open(runs) as lines:
+    ran = {line.split()[1] for line in lines if line.startswith("run ")}
+faults = {r.name: fault for r in requests if (fault := r.fault(r.name in ran))}
+for name, fault in faults.items():
     print(f"{name}: {fault}")
-print(f"{len(faults)} of {len(requests)} requests broke a promise")
+answered = sum(bool(r.answer) for r in requests)
+print(f"{len(faults)} of {len(requests)} requests broke a promise, {answered} were answered")
 sys.exit(bool(faults))
--- a/tests/processes/platform/stopping_gateway_test.sh
+++ b/tests/processes/platform/stopping_gateway_test.sh
@@ -6,9 +6,10 @@
 start_platform
 start_raw_targets 4
 wait_until_served
-python3 "$(dirname "$0")/late_requests.py" "${P}41" "${PIDS[gateway-1]}" 8 ||
+python3 "$(dirname "$0")/late_requests.py" "${P}41" "${PIDS[gateway-1]}" 8 "$RUN/raw.out" ||
   fail "requests were cut off, or passed on late"
 LIMIT_S=1 exit_code gateway-1
 expect "exit code of the gateway" 0 "$EXIT_CODE"
-expect "late requests that ran" "" "$(grep -E 'run late-.*-(4\.5|[567]\.[05])$' "$RUN/raw.out")"
+expect "requests that came too late and ran" "" \
+  "$(grep -E 'run late-.*-20-pieces-(4\.5|[567]\.[05])$' "$RUN/raw.out")"
 echo "passed"
--- a/tests/processes/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -10,7 +10,7 @@
 /.../endless    the last 64 bytes of the body follow again and again, as fast as
                 they are read, until the caller closes
 /.../dripping   the same, 16 KB every 200 ms
-/.../slow       a sound answer after 20 s
+/.../slow-N     a sound answer after N seconds
 /load           the report of an idle engine; once /.../endless_load was asked for,
                 bytes without an end
 All others get a sound answer.
@@ -72,9 +72,9 @@
             while True:
                 connection.sendall(body[-64:] * (256 if is_dripping else 1024))
                 time.sleep(0.2 if is_dripping else 0)
-        if path.endswith("/slow"):
+        if "/slow-" in path:
             print("run", attempt, flush=True)
-            time.sleep(20)
+            time.sleep(int(path.rpartition("-")[2]))
         if path.endswith("/endless_load"):
             endless_load.set()
         if path == "/load":
