Streams that are broken off look whole to callers of HTTP/1.0

Callers saw: a 200 with the first events of a stream whose target had stopped, and a regular end.

Cause: HTTP/1.0 has no chunks, so that the end of the connection is the end of the body; a stream that is given up closed it like one that is complete.

Evidence: net_test, "a stream that is broken off does not look complete", failed for 1.0 on the code before and passed for 1.1; now it passes for both.

Why this works: such a connection is reset, which ends no body.

--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -56,7 +56,7 @@
   virtual bool WritePiece(std::string_view piece) = 0;
   virtual bool EndStream() = 0;
   // Closes the connection, so that the caller sees that the response is
-  // incomplete.
+  // incomplete: the last chunk is missing, or, in HTTP/1.0, it is reset.
   virtual void AbortStream() = 0;
 
   virtual bool has_responded() const = 0;
--- a/src/libs/net/internal/server_connection.cc
+++ b/src/libs/net/internal/server_connection.cc
@@ -401,4 +401,10 @@
   stream_.socket().close(ignored);
 }
 
+void ServerConnection::Reset() {
+  boost::system::error_code ignored;
+  stream_.socket().set_option(tcp::socket::linger(true, 0), ignored);
+  stream_.socket().close(ignored);
+}
+
 }  // namespace bilberryspool::net::internal
--- a/src/libs/net/internal/server_connection.h
+++ b/src/libs/net/internal/server_connection.h
@@ -81,6 +81,8 @@
   void Evict();
   void WatchForClose();
   void Close();
+  // Closes the connection so that its caller gets an error.
+  void Reset();
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
--- a/src/libs/net/internal/server_exchange.cc
+++ b/src/libs/net/internal/server_exchange.cc
@@ -133,6 +133,9 @@
 void ServerExchange::AbortStream() {
   is_broken_ = true;
   connection_.keep_alive_ = false;
+  if (connection_.http_version_ < 11) {
+    connection_.Reset();
+  }
 }
 
 void ServerExchange::NotifyOnDisconnect(std::function<void()> on_disconnect) {
--- a/tests/auto/net/broken_answer_test.cc
+++ b/tests/auto/net/broken_answer_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,7 @@
 #include <thread>
 
 #include "libs/net/http_client.h"
+#include "libs/net/http_server.h"
 #include "libs/net/network_loop.h"
 
 namespace bilberryspool::net {
@@ -216,5 +218,49 @@
   }
 }
 
+// Guards against a stream that was broken off looking complete to its caller:
+// in HTTP/1.0 the end of the connection is the end of the body.
+TEST_CASE("a stream that is broken off does not look complete") {
+  for (const std::string version : {"1.0", "1.1"}) {
+    CAPTURE(version);
+    std::string received;
+    boost::system::error_code error;
+    NetworkLoop loop;
+    loop.Run([&] {
+      HttpServerOptions options;
+      options.listen = {"127.0.0.1", 0};
+      HttpServer server(loop, options, [&](HttpExchange& exchange) {
+        exchange.BeginStream({});
+        exchange.WritePiece("event");
+        loop.SleepFor(Milliseconds(200));
+        exchange.AbortStream();
+      });
+      REQUIRE(server.Start().empty());
+      const std::uint16_t port = server.port();
+      bool is_done = false;
+      std::thread client([&] {
+        boost::asio::io_context io;
+        tcp::socket socket(io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        const std::string request =
+            "GET / HTTP/" + version + "\r\nHost: h\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(request));
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+        loop.Post([&] { is_done = true; });
+      });
+      while (!is_done) {
+        loop.SleepFor(Milliseconds(1));
+      }
+      client.join();
+      server.Drain();
+    });
+    CHECK(received.find("event") != std::string::npos);
+    const bool has_last_chunk = received.ends_with("0\r\n\r\n");
+    const bool looks_complete =
+        version == "1.1" ? has_last_chunk : error == boost::asio::error::eof;
+    CHECK_FALSE(looks_complete);
+  }
+}
+
 }  // namespace
 }  // namespace bilberryspool::net
