--- a/src/libs/base/growing_bytes.h
+++ b/src/libs/base/growing_bytes.h
@@ -20,7 +20,6 @@
   }
   void Clear() { bytes_.clear(); }
 
-  bool empty() const { return bytes_.empty(); }
   std::size_t size() const { return bytes_.size(); }
   std::string ToString() const { return {bytes_.begin(), bytes_.end()}; }
   // The last `count` bytes, or all if there are fewer.
--- a/tests/processes/broken_engine_test.sh
+++ b/tests/processes/broken_engine_test.sh
@@ -3,13 +3,7 @@
 # callers of an entry.
 . "$(dirname "$0")/deployment.sh"
 
-for i in 1 2 3; do write_entry "$i"; done
-write_agent 1 dispatch KIND=plain
-start_entries 1 2 3
-start raw python3 "$(dirname "$0")/raw_target.py" 127.0.0.1 "${P}51" 1
-start_agent 1
-declare_services
-wait_for_orders 1
+start_with_raw_target
 
 BODY="the engine's body"
 FIELDS="Content-Length: ${#BODY}"$'\r\n'
--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -269,6 +269,18 @@
     wait_until "entry $n carries out orders" carries_out_orders "$n"
   done
 }
+# Three entries, and an agent in front of a target that answers with what the
+# request says; see raw_target.py.
+start_with_raw_target() {
+  local i
+  for i in 1 2 3; do write_entry "$i"; done
+  write_agent 1 dispatch KIND=plain
+  start_entries 1 2 3
+  start raw python3 "$(dirname "${BASH_SOURCE[0]}")/raw_target.py" 127.0.0.1 "${P}51" 1
+  start_agent 1
+  declare_services
+  wait_for_orders 1
+}
 # Operators may see a target shortly before requests are routed to it.
 is_streamed() { stream "$1" "probe-stream-$SECONDS" 1 | grep -q DONE; }
 wait_for_streams() { wait_until "entry $1 streams" is_streamed "$1"; } # N
