--- a/tests/processes/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -5,8 +5,9 @@
 Announces COUNT targets of the users' platform at the control nodes (IP:PORT), if
 there are any.
 
-A request whose body begins with "HTTP/" is answered with that body as it is, and
-then the connection is closed. The path says what else an answer is like:
+A request whose body begins with "HTTP/" is answered with that body as it is, but
+for "(seal)", which stands for the field of the digest; then the connection is
+closed. The path says what else an answer is like:
 /.../endless    the last 64 bytes of the body follow again and again, as fast as
                 they are read, until the caller closes
 /.../dripping   the same, 16 KB every 200 ms
@@ -26,7 +27,8 @@
 controls = sys.argv[4].split(",") if len(sys.argv) > 4 else []
 endless_load = threading.Event()
 SEAL = "Bilberryspool-Response-Seal: seal-of-raw\r\n"
-ENDLESS = ("/endless", "/dripping")
+DRIPPING = "/dripping"
+ENDLESS = ("/endless", DRIPPING)
 
 
 def announce():
@@ -60,6 +62,12 @@
     return lines[0].split(" ")[1], fields.get("bilberryspool-attempt-id", ""), body
 
 
+def send_without_end(connection, piece, pause_s=0.0):
+    while True:
+        connection.sendall(piece)
+        time.sleep(pause_s)
+
+
 def serve(connection):
     with connection:
         request = read_request(connection)
@@ -67,11 +75,10 @@
             return
         path, attempt, body = request
         if path.endswith(ENDLESS):
-            is_dripping = path.endswith(ENDLESS[1])
             connection.sendall(body.replace(b"(seal)", SEAL.encode()))
-            while True:
-                connection.sendall(body[-64:] * (256 if is_dripping else 1024))
-                time.sleep(0.2 if is_dripping else 0)
+            if path.endswith(DRIPPING):
+                send_without_end(connection, body[-64:] * 256, 0.2)
+            send_without_end(connection, body[-64:] * 1024)
         if "/slow-" in path:
             print("run", attempt, flush=True)
             time.sleep(int(path.rpartition("-")[2]))
@@ -81,8 +88,7 @@
             body = b"HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n" + b'{"running":0,"queued":0}'
             if endless_load.is_set():
                 connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
-                while True:
-                    connection.sendall(b"[" * 65536)
+                send_without_end(connection, b"[" * 65536)
         if not body.startswith(b"HTTP/"):
             body = (f"HTTP/1.1 200 OK\r\n{SEAL}Bilberryspool-Attempt-Id: {attempt}\r\n"
                     "Content-Length: 5\r\n\r\nsound").encode()
