Tests: lines that threads of the raw target write at one time are mixed

Cause: print() writes the words and the end of a line one by one, and the target serves each request in a thread. A mixed line could also have hidden a request that ran.

The checks are as they were.

--- a/tests/processes/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -17,6 +17,7 @@
 All others get a sound answer.
 """
 import json
+import os
 import socket
 import sys
 import threading
@@ -80,7 +81,8 @@
                 send_without_end(connection, body[-64:] * 256, 0.2)
             send_without_end(connection, body[-64:] * 1024)
         if "/slow-" in path:
-            print("run", attempt, flush=True)
+            # In one write: print() of several threads mixes their lines.
+            os.write(1, f"run {attempt}\n".encode())
             time.sleep(int(path.rpartition("-")[2]))
         if path.endswith("/endless_load"):
             endless_load.set()
