--- a/tests/auto/gateway/answer_buffer_test.cc
+++ b/tests/auto/gateway/answer_buffer_test.cc
@@ -11,6 +11,25 @@
 // Guards against a gateway that has no memory left, or no room for sound
 // answers, where targets send answers that never end.
 TEST_CASE("answers without an end take bounded room and leave some to others") {
+  const std::string piece(16UL * 1024, 'a');
+  std::size_t total = 0;
+  {
+    std::list<AnswerBuffer> endless;
+    for (int i = 0; i < 40; ++i) {
+      AnswerBuffer& answer = endless.emplace_back(total);
+      while (answer.Append(piece)) {
+      }
+      CHECK(answer.size() <= AnswerBuffer::kMaxBytes);
+    }
+    CHECK(total <= AnswerRoom::kMaxLargeTotal + 40 * AnswerRoom::kLargeBytes);
+    AnswerBuffer sound(total);
+    CHECK(sound.Append(piece));
+  }
+  CHECK(total == 0);
+}
+
+// The same where so many grow at a time that they could not all be large.
+TEST_CASE("the room does not grow with the number of answers without an end") {
   for (const std::size_t count : {40, 4000}) {
     for (const std::size_t piece_bytes : {1000, 16 * 1024}) {
       CAPTURE(count);
--- a/tests/processes/platform/broken_answers.py
+++ b/tests/processes/platform/broken_answers.py
@@ -89,5 +89,18 @@
     text = f"HTTP/1.1 {status} Interim\r\nA: b\r\n\r\n{OK}{LENGTH}\r\n{BODY}"
     status, fields, body = ask_target("/a/x", text.encode())
     assert (status, body) == ("200", BODY), f"{text!r} was answered {status} {body!r}"
+# Unusual but valid; the fields and the body must arrive as they were sent.
+for status, sent in (("299", {}), ("200", {"Odd": "\xc3\xa4\tb  c"}), ("200", {"!#$%&'*+-.^_`|~0Az": "b"})):
+    lines = "".join(f"{name}: {value}\r\n" for name, value in sent.items())
+    for framing in (f"{LENGTH}\r\n{BODY}",
+                    CHUNKED.replace("\r\nthe", ";a=b\r\nthe") + "Trailer: t\r\n\r\n",
+                    f"\r\n{BODY}"):
+        text = f"HTTP/1.1 {status} \r\n(seal){lines}{framing}"
+        for path in ("/a/x", "/again/x", "/stream/x"):
+            answer = ask_target(path, text.encode("latin-1"))
+            is_same = (answer[0] == status and answer[2] == BODY
+                       and answer[1].get("Bilberryspool-Response-Seal") == "seal-of-raw"
+                       and sent.items() <= answer[1].items())
+            assert is_same, f"{path}: {text!r} was answered {answer}"
 print(f"{faults} of {count} broken answers were passed on")
 sys.exit(faults > 0)
